--- /dev/null
+++ b/cmake/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/packages/core/include/sycamorehinge/core/document.h
@@ -0,0 +1,88 @@
+// The environment document: what operators write, apply to trial and promote to production.
+#ifndef SYCAMOREHINGE_CORE_DOCUMENT_H_
+#define SYCAMOREHINGE_CORE_DOCUMENT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sycamorehinge/core/types.h"
+
+namespace sycamorehinge {
+
+enum class work_kind { kRequest, kBatch, kService, kGang };
+enum class placement_name { kSpread, kPack, kAllAtOnce, kRandom, kFirstFit };
+enum class stage_name { kTrial, kProduction };
+
+// A class of work, for example "confirmation" or "payout".
+struct class_rule {
+  class_id name;
+  // Guaranteed share of the room, 0..1; the shares of all classes add up to at most 1.
+  double share = 0;
+  // Largest share of the room that the class may hold, 0..1.
+  double limit = 1;
+  // Larger goes first among classes that have their guaranteed share.
+  std::int32_t urgency = 0;
+  // Longest queue wait before new work of the class is refused.
+  duration max_wait = std::chrono::seconds(30);
+};
+
+// A team with quotas over all entry processes.
+struct tenant_rule {
+  tenant_id name;
+  // Partitions of this region keep the jobs and idempotency keys of the tenant.
+  region_id home;
+  // Relative weight among tenants of one class.
+  double weight = 1;
+  // Most room held at once; a zero field means no quota.
+  resources quota;
+  // Most jobs open at once; 0 means no quota.
+  std::uint32_t max_jobs = 0;
+};
+
+// A service whose requests are answered by targets.
+struct service_rule {
+  service_id name;
+  // Time that a target may take for one request.
+  duration timeout = std::chrono::seconds(10);
+  // Slots of a target that one request takes.
+  std::int64_t slots = 1;
+};
+
+struct retry_rule {
+  std::uint32_t max_attempts = 3;
+  // Retries allowed as a share of first attempts.
+  double budget = 0.1;
+  duration backoff = std::chrono::milliseconds(50);
+  duration max_backoff = std::chrono::seconds(5);
+};
+
+struct placement_rules {
+  placement_name request = placement_name::kSpread;
+  placement_name batch = placement_name::kPack;
+  placement_name service = placement_name::kSpread;
+  placement_name gang = placement_name::kAllAtOnce;
+};
+
+struct environment_document {
+  environment_id name;
+  std::vector<service_rule> services;
+  std::vector<class_rule> classes;
+  std::vector<tenant_rule> tenants;
+  placement_rules placement;
+  retry_rule retry;
+
+  // Null if the document has no such entry.
+  const service_rule* FindService(std::string_view service) const;
+  const class_rule* FindClass(std::string_view work_class) const;
+  const tenant_rule* FindTenant(std::string_view tenant) const;
+};
+
+std::string_view ToString(work_kind kind);
+std::string_view ToString(placement_name name);
+std::string_view ToString(stage_name stage);
+
+}  // namespace sycamorehinge
+
+#endif  // SYCAMOREHINGE_CORE_DOCUMENT_H_
--- /dev/null
+++ b/packages/core/include/sycamorehinge/core/membership.h
@@ -0,0 +1,95 @@
+// Which processes are alive, and which of them should hold a host or own a partition.
+#ifndef SYCAMOREHINGE_CORE_MEMBERSHIP_H_
+#define SYCAMOREHINGE_CORE_MEMBERSHIP_H_
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "sycamorehinge/core/error.h"
+#include "sycamorehinge/core/types.h"
+
+namespace sycamorehinge {
+
+struct owned_partition {
+  partition_number number = 0;
+  std::uint64_t epoch = 0;
+};
+
+// Load of the pools for one service; an empty service means workers.
+struct pool_load {
+  environment_id environment;
+  service_id service;
+  resources free;
+  resources largest_free;
+  duration expected_wait{};
+};
+
+// What a process says of itself in each heartbeat.
+struct process_status {
+  process_id process;
+  std::uint64_t incarnation = 0;
+  location where;
+  std::uint64_t config_version = 0;
+  bool ready = false;
+  bool draining = false;
+  std::vector<owned_partition> partitions;
+  std::vector<pool_load> loads;
+};
+
+struct membership_options {
+  duration suspect_after_in_region = std::chrono::milliseconds(1500);
+  duration suspect_after_elsewhere = std::chrono::seconds(6);
+};
+
+class membership {
+ public:
+  membership(process_status self, membership_options options);
+
+  // Takes a peer's heartbeat. kDuplicateName if a process with this process's own name and a
+  // higher incarnation speaks; kReplayed if the incarnation is older than the known one.
+  errc Heard(const process_status& status, time_point now);
+
+  void UpdateSelf(process_status self);
+  const process_status& Self() const { return self_; }
+
+  bool IsAlive(const process_id& process, time_point now) const;
+  // Alive processes, this one included, sorted by name. Draining ones only if asked for.
+  std::vector<process_status> Alive(time_point now, bool with_draining = false) const;
+  // Last time a heartbeat of the process came; nullopt if never.
+  std::optional<time_point> LastHeard(const process_id& process) const;
+
+  // Process that should hold the host: rendezvous hash over alive, ready, not draining processes
+  // of the host's data centre, else of its region, else all.
+  process_id PreferredHolder(const host_id& host, const location& where, time_point now) const;
+  // Process that should own the partition, by the same rule over the partition's region.
+  process_id PreferredOwner(partition_number partition, const region_id& region,
+                            time_point now) const;
+  // Process that says it owns the partition with the highest epoch; empty if none is alive.
+  process_id KnownOwner(partition_number partition, time_point now) const;
+
+ private:
+  struct peer {
+    process_status status;
+    time_point heard;
+  };
+  duration SuspectAfter(const process_status& status) const;
+  process_id Rendezvous(std::string_view key, std::span<const process_status> among) const;
+
+  process_status self_;
+  membership_options options_;
+  std::vector<peer> peers_;
+};
+
+// Region of a partition: partitions are dealt to the sorted regions in turn.
+region_id RegionOfPartition(partition_number partition, std::span<const region_id> regions);
+// Partition that keeps the key of a tenant of home region `home`.
+partition_number PartitionOfKey(const tenant_id& tenant, std::string_view key,
+                                const region_id& home, std::span<const region_id> regions,
+                                partition_number partitions);
+
+}  // namespace sycamorehinge
+
+#endif  // SYCAMOREHINGE_CORE_MEMBERSHIP_H_
--- /dev/null
+++ b/packages/wire/include/sycamorehinge/wire/seal.h
@@ -0,0 +1,50 @@
+// Authentication of what peers send each other: HMAC-SHA-256 with a shared key, replay refused.
+#ifndef SYCAMOREHINGE_WIRE_SEAL_H_
+#define SYCAMOREHINGE_WIRE_SEAL_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "sycamorehinge/core/error.h"
+#include "sycamorehinge/core/types.h"
+
+namespace sycamorehinge {
+
+// Who sent a sealed frame, and its number; numbers of one incarnation only grow.
+struct seal_header {
+  process_id from;
+  std::uint64_t incarnation = 0;
+  std::uint64_t counter = 0;
+};
+
+struct opened_frame {
+  seal_header header;
+  std::string payload;
+};
+
+// Frame with header, payload and authentication code.
+std::string Seal(std::string_view key, const seal_header& header, std::string_view payload);
+// kUnauthorized if the code is wrong (compared in constant time), kTruncated, kMalformed or
+// kWrongVersion if the frame is not one of ours.
+result<opened_frame> Open(std::string_view key, std::string_view frame);
+
+// Refuses frames seen before: a sliding window of 64 counters for each sender and incarnation.
+class replay_window {
+ public:
+  // False for a replayed frame, one older than the window, or one of an older incarnation.
+  bool Accept(const seal_header& header);
+
+ private:
+  struct sender {
+    std::uint64_t incarnation = 0;
+    std::uint64_t highest = 0;
+    std::uint64_t seen = 0;
+  };
+  std::map<process_id, sender> senders_;
+};
+
+}  // namespace sycamorehinge
+
+#endif  // SYCAMOREHINGE_WIRE_SEAL_H_
