Add the entry node: shards for membership, documents, pools, claims, partitions and requests

Cause: the whole path needs one place that composes the decisions and drives the ports. Each shard has its own lock; effects are delivered in order outside it.

--- a/packages/node/include/sycamorehinge/node/ports.h
+++ b/packages/node/include/sycamorehinge/node/ports.h
@@ -153,6 +153,8 @@
   std::function<bool(const process_id&, const peer_message&)> send_peer;
   // Unreliable.
   std::function<void(const process_id&, const process_status&)> send_heartbeat;
+  // Runs the function once at or after the time, on any thread but never inside the call.
+  std::function<void(time_point, std::function<void()>)> at;
 };
 
 }  // namespace sycamorehinge
--- /dev/null
+++ b/packages/node/src/host_tasks.cc
@@ -0,0 +1,270 @@
+// The part of host_claims that starts, runs, stops and resolves work on hosts.
+#include <algorithm>
+
+#include "host_claims.h"
+#include "parts.h"
+
+namespace sycamorehinge {
+
+namespace {
+
+constexpr duration kResolveAgain = std::chrono::milliseconds(200);
+// After this many unanswered questions only the claim's lapse can settle the attempt.
+constexpr std::uint32_t kMostResolves = 50;
+
+pool_key KeyOf(const listed_host& row) {
+  return {row.environment, row.kind == host_kind::kTarget ? row.service : service_id{}};
+}
+
+// What a failed start or execute call says about the attempt.
+attempt_fact FactOf(const result<host_answer>& answer) {
+  if (answer) return attempt_fact::kRunning;
+  switch (answer.code()) {
+    case errc::kStaleTerm:
+    case errc::kVoided:
+    case errc::kNoRoom:
+    case errc::kMalformed:
+      return attempt_fact::kNever;
+    case errc::kFailed:
+      return attempt_fact::kFailed;
+    case errc::kConnectionFailed:
+      return answer.detail() == "refused" ? attempt_fact::kNever : attempt_fact::kUnreachable;
+    default:
+      return attempt_fact::kUnreachable;
+  }
+}
+
+finish_kind FinishOf(attempt_fact fact) {
+  if (fact == attempt_fact::kSucceeded) return finish_kind::kSucceeded;
+  return fact == attempt_fact::kNever ? finish_kind::kNeverRan : finish_kind::kFailed;
+}
+
+}  // namespace
+
+void host_claims::Start(const attempt_id& id, const placement& place, const job_spec& spec) {
+  std::optional<listed_host> row;
+  Shard(place.host)
+      .Apply(
+          [&](claim_table& table, std::vector<notice>&) {
+            const auto found = table.hosts.find(place.host);
+            if (found == table.hosts.end()) return;
+            claim_entry& entry = found->second;
+            if (!entry.held || entry.term != place.term) return;
+            row = entry.row;
+            claimed_task& task = entry.tasks[id];
+            task.work = {id, spec.tenant, spec.work_class, spec.size, spec.preemptible};
+            task.kept = true;
+            task.reported = parts_.Now();
+          },
+          Deliver);
+  if (!row) {
+    // The claim of the reservation is gone, so no start under its term can take effect.
+    Report(id, place.host, place.term, attempt_fact::kNever);
+    return;
+  }
+  parts_.pools.Handle(KeyOf(*row), hold_confirmed{id});
+  start_call call{
+      parts_.options.self, place.term,       id,        spec.tenant,
+      spec.work_class,     spec.preemptible, spec.size, parts_.options.claims.task_lease,
+      spec.run_time,       spec.payload};
+  parts_.port.call_host(
+      *row, std::move(call),
+      [this, row = *row, id, term = place.term](auto answer) { OnStarted(row, id, term, answer); });
+}
+
+void host_claims::OnStarted(const listed_host& row, const attempt_id& id, std::uint64_t term,
+                            const result<host_answer>& answer) {
+  const attempt_fact fact = FactOf(answer);
+  if (fact == attempt_fact::kNever || fact == attempt_fact::kFailed) {
+    Forget(row.host, id, FinishOf(fact));
+  }
+  Report(id, row.host, term, fact);
+}
+
+void host_claims::Execute(const attempt_id& id, const placement& place,
+                          const caller_request& request, execute_handler handler) {
+  std::optional<listed_host> row;
+  Shard(place.host)
+      .Apply(
+          [&](claim_table& table, std::vector<notice>&) {
+            const auto found = table.hosts.find(place.host);
+            if (found == table.hosts.end()) return;
+            claim_entry& entry = found->second;
+            if (!entry.held || entry.term != place.term) return;
+            row = entry.row;
+            claimed_task& task = entry.tasks[id];
+            task.work = {id, request.tenant, request.work_class, {0, 0, 0, 1}, false};
+            task.kept = true;
+            task.reported = parts_.Now();
+          },
+          Deliver);
+  if (!row) {
+    handler({errc::kStaleTerm, attempt_fact::kNever, {}});
+    return;
+  }
+  parts_.pools.Handle(KeyOf(*row), hold_confirmed{id});
+  parts_.port.call_host(
+      *row, execute_call{place.term, id, request.key, request.time_left, request.body},
+      [this, row = *row, id, term = place.term, handler = std::move(handler)](auto answer) {
+        OnExecuted(row, id, term, answer, handler);
+      });
+}
+
+void host_claims::OnExecuted(const listed_host& row, const attempt_id& id, std::uint64_t term,
+                             const result<host_answer>& answer, const execute_handler& handler) {
+  if (answer) {
+    Forget(row.host, id, finish_kind::kSucceeded);
+    const auto* executed = std::get_if<execute_answer>(&*answer);
+    handler({errc::kOk, attempt_fact::kSucceeded, executed == nullptr ? "" : executed->body});
+    return;
+  }
+  const attempt_fact fact = FactOf(answer);
+  if (fact != attempt_fact::kUnreachable) {
+    Forget(row.host, id, FinishOf(fact));
+    handler({answer.code(), fact, {}});
+    return;
+  }
+  // Whether the request ran is unknown: the host says, and refuses a late start from then on.
+  Resolve(row.host, id, term, 0, [handler](attempt_fact known, std::string text) {
+    const errc code = known == attempt_fact::kSucceeded ? errc::kOk : errc::kTimeout;
+    handler({code, known, std::move(text)});
+  });
+}
+
+void host_claims::Resolve(const host_id& host, const attempt_id& id, std::uint64_t term,
+                          std::uint32_t tries,
+                          std::function<void(attempt_fact, std::string)> handler) {
+  const std::optional<listed_host> row = Find(host);
+  if (!row || tries >= kMostResolves) {
+    if (handler) handler(attempt_fact::kUnreachable, {});
+    return;
+  }
+  parts_.port.call_host(*row, void_call{term, id},
+                        [this, host, id, term, tries, handler](result<host_answer> answer) {
+                          const auto* fact = answer ? std::get_if<void_answer>(&*answer) : nullptr;
+                          if (fact != nullptr && fact->fact != attempt_fact::kRunning) {
+                            Forget(host, id, FinishOf(fact->fact));
+                            if (handler) handler(fact->fact, fact->answer);
+                            return;
+                          }
+                          if (answer.code() == errc::kStaleTerm) {
+                            if (handler) handler(attempt_fact::kUnreachable, {});
+                            return;
+                          }
+                          parts_.At(parts_.Now() + kResolveAgain,
+                                    [this, host, id, term, tries, handler] {
+                                      Resolve(host, id, term, tries + 1, handler);
+                                    });
+                        });
+}
+
+void host_claims::Keep(const host_id& host, const attempt_id& id, std::uint64_t term) {
+  OnEntry(host, [&](claim_entry& entry, std::vector<notice>&) {
+    if (!entry.held || entry.term != term) return;
+    const auto found = entry.tasks.find(id);
+    if (found != entry.tasks.end()) found->second.kept = true;
+  });
+}
+
+void host_claims::StopTask(const host_id& host, const attempt_id& id, bool checkpoint) {
+  std::optional<listed_host> row;
+  std::uint64_t term = 0;
+  OnEntry(host, [&](claim_entry& entry, std::vector<notice>&) {
+    const auto found = entry.tasks.find(id);
+    if (found != entry.tasks.end() && found->second.ended) {
+      entry.ack.push_back(id);
+      entry.tasks.erase(found);
+      return;
+    }
+    if (!entry.held) return;
+    row = entry.row;
+    term = entry.term;
+  });
+  if (!row) return;
+  parts_.port.call_host(*row, stop_call{term, id, checkpoint},
+                        [this, host, id, term](const result<host_answer>& answer) {
+                          if (!answer && FactOf(answer) == attempt_fact::kUnreachable) return;
+                          Forget(host, id, finish_kind::kCancelled);
+                          SendToOwner(id, task_lost{id, term}, attempt_lost{id, term});
+                        });
+}
+
+void host_claims::VoidTask(const host_id& host, const attempt_id& id) {
+  std::optional<listed_host> row;
+  std::uint64_t term = 0;
+  OnEntry(host, [&](claim_entry& entry, std::vector<notice>&) {
+    if (!entry.held) return;
+    row = entry.row;
+    term = entry.term;
+  });
+  if (!row) {
+    Report(id, host, 0, attempt_fact::kUnreachable);
+    return;
+  }
+  parts_.port.call_host(*row, void_call{term, id},
+                        [this, host, id, term](const result<host_answer>& answer) {
+                          const auto* fact = answer ? std::get_if<void_answer>(&*answer) : nullptr;
+                          if (fact == nullptr) {
+                            Report(id, host, term, attempt_fact::kUnreachable);
+                            return;
+                          }
+                          if (fact->fact != attempt_fact::kRunning) {
+                            Forget(host, id, FinishOf(fact->fact));
+                          }
+                          parts_.partitions.ReportVoided(id, host, term, fact->fact, fact->answer);
+                        });
+}
+
+void host_claims::Preempt(const host_id& host, const attempt_id& id) {
+  std::optional<listed_host> row;
+  std::uint64_t term = 0;
+  OnEntry(host, [&](claim_entry& entry, std::vector<notice>&) {
+    if (!entry.held || !entry.tasks.contains(id)) return;
+    row = entry.row;
+    term = entry.term;
+  });
+  if (!row) return;
+  parts_.port.call_host(*row, stop_call{term, id, true},
+                        [this, host, id](const result<host_answer>& answer) {
+                          if (!answer) return;
+                          Forget(host, id, finish_kind::kPreempted);
+                          SendToOwner(id, task_preempted{id}, attempt_preempted{id});
+                        });
+}
+
+void host_claims::ReturnHold(const host_id& host, const attempt_id& id) {
+  const std::optional<listed_host> row = Find(host);
+  if (row) parts_.pools.Handle(KeyOf(*row), hold_released{id});
+}
+
+void host_claims::Forget(const host_id& host, const attempt_id& id, finish_kind outcome) {
+  std::optional<listed_host> row;
+  OnEntry(host, [&](claim_entry& entry, std::vector<notice>&) {
+    if (entry.tasks.erase(id) > 0) row = entry.row;
+  });
+  if (row) FinishInPool(*row, id, outcome);
+}
+
+void host_claims::FinishInPool(const listed_host& row, const attempt_id& id, finish_kind outcome) {
+  parts_.pools.Handle(KeyOf(row), work_finished{id, row.host, outcome, {}});
+}
+
+void host_claims::Report(const attempt_id& id, const host_id& host, std::uint64_t term,
+                         attempt_fact fact) {
+  SendToOwner(id, task_report{id, host, term, fact, {}},
+              attempt_reported{id, host, term, parts_.options.self, fact, {}});
+}
+
+void host_claims::SendToOwner(const attempt_id& id, const peer_message& message,
+                              const partition_event& event) {
+  const partition_number partition = id.task.job.partition;
+  if (partition == kNoPartition) return;
+  if (parts_.partitions.IsOwner(partition)) {
+    parts_.partitions.Handle(partition, event);
+    return;
+  }
+  const process_id owner = parts_.alive.KnownOwner(partition);
+  if (!owner.empty() && owner != parts_.options.self) parts_.peers.Send(owner, message);
+}
+
+}  // namespace sycamorehinge
--- /dev/null
+++ b/packages/node/src/partition_set.cc
@@ -0,0 +1,320 @@
+#include "partition_set.h"
+
+#include <algorithm>
+
+#include "parts.h"
+
+namespace sycamorehinge {
+
+namespace {
+
+job_answer Refusal(errc code, std::string detail = {}, duration retry_after = {}) {
+  job_answer answer;
+  answer.code = code;
+  answer.detail = std::move(detail);
+  answer.retry_after = retry_after;
+  return answer;
+}
+
+}  // namespace
+
+partition_set::partition_set(entry_node::parts& parts) : parts_(parts) {
+  for (partition_number number = 0; number < parts.options.partitions; ++number) {
+    runners_.push_back(std::make_unique<partition_runner>(parts, number));
+  }
+}
+
+partition_runner* partition_set::Find(partition_number partition) const {
+  return partition < runners_.size() ? runners_[partition].get() : nullptr;
+}
+
+void partition_set::Tick(time_point now) {
+  for (const auto& runner : runners_) runner->Tick(now);
+  for (waiter& late : waiters_.TakeExpired(now)) {
+    job_answer answer;
+    if (const auto status = FindJob(late.job)) {
+      answer.status = *status;
+    } else {
+      answer.code = errc::kNotOwner;
+    }
+    late.reply(answer);
+  }
+}
+
+void partition_set::Handle(partition_number partition, const partition_event& event) {
+  if (partition_runner* runner = Find(partition)) runner->Handle(event);
+}
+
+void partition_set::DocumentChanged(const std::shared_ptr<const environment_document>& document) {
+  for (const auto& runner : runners_) runner->Handle(document_changed{document});
+}
+
+void partition_set::RetireAll() {
+  for (const auto& runner : runners_) runner->Retire();
+}
+
+bool partition_set::IsOwner(partition_number partition) const {
+  const partition_runner* runner = Find(partition);
+  return runner != nullptr && runner->IsOwner();
+}
+
+std::vector<owned_partition> partition_set::Owned() const {
+  std::vector<owned_partition> owned;
+  for (partition_number number = 0; number < runners_.size(); ++number) {
+    const std::uint64_t epoch = runners_[number]->Epoch();
+    if (epoch != 0) owned.push_back({number, epoch});
+  }
+  return owned;
+}
+
+void partition_set::Heard(const process_status& status) {
+  const time_point now = parts_.Now();
+  const std::lock_guard lock(mutex_);
+  for (const owned_partition& owned : status.partitions) {
+    auto& [epoch, when] = heard_[owned.number];
+    epoch = std::max(epoch, owned.epoch);
+    when = now;
+  }
+}
+
+std::uint64_t partition_set::KnownEpoch(partition_number partition) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = heard_.find(partition);
+  return found == heard_.end() ? 0 : found->second.first;
+}
+
+time_point partition_set::LastContact(partition_number partition) const {
+  if (IsOwner(partition)) return parts_.Now();
+  const std::lock_guard lock(mutex_);
+  const auto found = heard_.find(partition);
+  return found == heard_.end() ? time_point{} : found->second.second;
+}
+
+time_point partition_set::NextAppendTime() {
+  const time_point now = parts_.Now();
+  const auto spacing = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(1.0 / parts_.options.appends_per_second));
+  const std::lock_guard lock(mutex_);
+  // A short burst is allowed, so that a quiet process appends without waiting.
+  constexpr int kBurst = 5;
+  next_append_ = std::max(next_append_, now - spacing * kBurst) + spacing;
+  return next_append_;
+}
+
+template <class Question>
+void partition_set::Forward(partition_number partition, bool may_forward, Question question,
+                            duration wait, job_function reply) {
+  const process_id owner = parts_.alive.KnownOwner(partition);
+  if (!may_forward || owner.empty() || owner == parts_.options.self) {
+    reply(Refusal(errc::kHomeUnreachable));
+    return;
+  }
+  const time_point deadline = parts_.Now() + wait + parts_.options.call_timeout;
+  parts_.peers.Call(owner, std::move(question), deadline,
+                    [reply = std::move(reply)](errc code, const peer_message* message) {
+                      if (message != nullptr) {
+                        reply(std::get<job_answer>(*message));
+                      } else if (code == errc::kConnectionFailed) {
+                        reply(Refusal(errc::kHomeUnreachable));
+                      } else {
+                        reply(Refusal(errc::kOutcomeUnknown, "ask again with the same key"));
+                      }
+                    });
+}
+
+void partition_set::Submit(job_spec spec, bool may_forward, job_function reply) {
+  const auto document = parts_.documents.Find(spec.environment);
+  const tenant_rule* tenant =
+      document == nullptr ? nullptr : document->FindTenant(spec.tenant.value);
+  if (document == nullptr || tenant == nullptr) {
+    reply(Refusal(document == nullptr ? errc::kUnknownEnvironment : errc::kUnknownTenant));
+    return;
+  }
+  if (document->FindClass(spec.work_class.value) == nullptr) {
+    reply(Refusal(errc::kUnknownClass));
+    return;
+  }
+  const partition_number partition = PartitionOfKey(
+      spec.tenant, spec.key, tenant->home, parts_.options.regions, parts_.options.partitions);
+  if (!IsOwner(partition)) {
+    Forward(partition, may_forward, forward_submit{0, std::move(spec)}, {}, std::move(reply));
+    return;
+  }
+  if (parts_.draining) {
+    reply(Refusal(errc::kDraining));
+    return;
+  }
+  const std::uint64_t call =
+      parts_.job_calls.Add(std::move(reply), parts_.Now() + parts_.options.call_timeout);
+  Handle(partition, submit_requested{call, std::move(spec), parts_.port.wall_ms()});
+}
+
+void partition_set::Cancel(const job_id& job, bool may_forward, job_function reply) {
+  if (!IsOwner(job.partition)) {
+    Forward(job.partition, may_forward, forward_cancel{0, job}, {}, std::move(reply));
+    return;
+  }
+  const std::uint64_t call =
+      parts_.job_calls.Add(std::move(reply), parts_.Now() + parts_.options.call_timeout);
+  Handle(job.partition, cancel_requested{call, job});
+}
+
+void partition_set::Status(const job_id& job, duration wait, bool may_forward, job_function reply) {
+  if (!IsOwner(job.partition)) {
+    Forward(job.partition, may_forward, forward_status{0, job, wait}, wait, std::move(reply));
+    return;
+  }
+  job_answer answer;
+  const auto status = FindJob(job);
+  if (!status) {
+    reply(Refusal(errc::kUnknownJob));
+    return;
+  }
+  answer.status = *status;
+  const bool running = status->state == job_state::kQueued || status->state == job_state::kRunning;
+  if (!running || wait <= duration{}) {
+    reply(answer);
+    return;
+  }
+  const std::uint64_t call = waiters_.Add({job, std::move(reply)}, parts_.Now() + wait);
+  {
+    const std::lock_guard lock(mutex_);
+    waiting_.emplace(job, call);
+  }
+  // The job may have ended between the look and the registration.
+  const auto again = FindJob(job);
+  if (again && again->state != job_state::kQueued && again->state != job_state::kRunning) {
+    JobEnded(job);
+  }
+}
+
+void partition_set::JobEnded(const job_id& job) {
+  std::vector<std::uint64_t> calls;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto [first, last] = waiting_.equal_range(job);
+    for (auto it = first; it != last; ++it) calls.push_back(it->second);
+    waiting_.erase(first, last);
+  }
+  const auto status = FindJob(job);
+  for (const std::uint64_t call : calls) {
+    auto waiting = waiters_.Take(call);
+    if (!waiting) continue;
+    job_answer answer;
+    if (status) answer.status = *status;
+    waiting->reply(answer);
+  }
+}
+
+std::optional<job_status> partition_set::FindJob(const job_id& job) const {
+  const partition_runner* runner = Find(job.partition);
+  if (runner == nullptr) return std::nullopt;
+  return runner->FindJob(job);
+}
+
+std::vector<job_status> partition_set::Jobs() const {
+  std::vector<job_status> all;
+  for (const auto& runner : runners_) {
+    std::vector<job_status> jobs = runner->Jobs();
+    std::move(jobs.begin(), jobs.end(), std::back_inserter(all));
+  }
+  return all;
+}
+
+void partition_set::Void(const void_attempt& effect) {
+  // The recorded holder may have lost the host; the process that should hold it now is asked in
+  // turn with it.
+  process_id holder = effect.holder;
+  bool other = !parts_.alive.IsAlive(holder);
+  {
+    const std::lock_guard lock(mutex_);
+    other = other || (++voids_ % 2 == 0);
+  }
+  const auto row = parts_.claims.Find(effect.host);
+  if (other && row) holder = parts_.alive.PreferredHolder(effect.host, row->where);
+  if (holder == parts_.options.self) {
+    parts_.claims.VoidTask(effect.host, effect.id);
+  } else if (!parts_.peers.Send(holder, void_task{effect.id, effect.host})) {
+    Handle(effect.id.task.job.partition,
+           attempt_reported{effect.id, effect.host, 0, holder, attempt_fact::kUnreachable, {}});
+  }
+}
+
+void partition_set::ReportVoided(const attempt_id& id, const host_id& host, std::uint64_t term,
+                                 attempt_fact fact, const std::string& answer) {
+  const partition_number partition = id.task.job.partition;
+  if (IsOwner(partition)) {
+    Handle(partition, attempt_reported{id, host, term, parts_.options.self, fact, answer});
+    return;
+  }
+  const process_id owner = parts_.alive.KnownOwner(partition);
+  if (owner.empty() || owner == parts_.options.self) return;
+  parts_.peers.Send(owner, task_report{id, host, term, fact, answer});
+}
+
+void partition_set::Run(const run_request& effect) {
+  const partition_number partition = effect.id.task.job.partition;
+  const auto call = parts_.keyed_calls.Find(effect.call);
+  if (!call) {
+    // Nothing was sent to the target, and nothing will be under this attempt.
+    Handle(partition, request_answered{effect.id, attempt_fact::kNever, {}});
+    return;
+  }
+  if (effect.holder == parts_.options.self) {
+    parts_.claims.Execute(effect.id, effect.place, call->request,
+                          [this, id = effect.id, partition](const execute_outcome& outcome) {
+                            OnExecuted(id, partition, outcome);
+                          });
+    return;
+  }
+  parts_.peers.Call(effect.holder, forward_run{0, effect.id, effect.place, call->request},
+                    parts_.Now() + call->request.time_left,
+                    [this, id = effect.id, partition](errc code, const peer_message* message) {
+                      execute_outcome outcome{code, attempt_fact::kUnreachable, {}};
+                      if (message != nullptr) {
+                        const auto& answer = std::get<request_answer>(*message);
+                        outcome = {answer.code, answer.fact, answer.body};
+                      } else if (code == errc::kConnectionFailed) {
+                        outcome.fact = attempt_fact::kNever;
+                      }
+                      OnExecuted(id, partition, outcome);
+                    });
+}
+
+void partition_set::OnExecuted(const attempt_id& id, partition_number partition,
+                               const execute_outcome& outcome) {
+  Handle(partition, request_answered{id, outcome.fact, outcome.answer});
+}
+
+void partition_set::ReplyJob(call_number call, const job_id& job) {
+  const auto reply = parts_.job_calls.Take(call);
+  if (!reply) return;
+  job_answer answer;
+  if (const auto status = FindJob(job)) answer.status = *status;
+  answer.status.job = job;
+  (*reply)(answer);
+}
+
+void partition_set::ReplyAnswer(call_number call, errc code, std::string detail,
+                                duration retry_after, std::string answer) {
+  const auto waiting = parts_.keyed_calls.Take(call);
+  if (!waiting) return;
+  request_answer reply;
+  reply.code = code;
+  reply.detail = std::move(detail);
+  reply.retry_after = retry_after;
+  reply.body = std::move(answer);
+  reply.fact = code == errc::kOk ? attempt_fact::kSucceeded : attempt_fact::kUnreachable;
+  waiting->reply(reply);
+}
+
+void partition_set::ReplyError(call_number call, errc code, std::string detail,
+                               duration retry_after) {
+  if (const auto reply = parts_.job_calls.Take(call)) {
+    (*reply)(Refusal(code, std::move(detail), retry_after));
+    return;
+  }
+  ReplyAnswer(call, code, std::move(detail), retry_after, {});
+}
+
+}  // namespace sycamorehinge
--- a/packages/wire/include/sycamorehinge/wire/messages.h
+++ b/packages/wire/include/sycamorehinge/wire/messages.h
@@ -119,6 +119,8 @@
   host_id host;
   std::uint64_t term = 0;
   attempt_fact fact = attempt_fact::kUnreachable;
+  // Stored answer of a keyed request, after it was voided too late.
+  std::string answer;
 };
 struct task_lost {
   attempt_id id;
