--- /dev/null
+++ b/packages/core/src/config_order.cc
@@ -0,0 +1,100 @@
+#include "sycamorehinge/core/config_order.h"
+
+#include <algorithm>
+
+namespace sycamorehinge {
+
+namespace {
+
+std::uint64_t VersionInForce(const std::vector<config_version>& versions) {
+  return versions.empty() ? 0 : versions.back().version;
+}
+
+void Append(std::vector<config_version>& versions, config_version version) {
+  versions.push_back(std::move(version));
+  if (versions.size() > config_order::kHistoryLength) versions.erase(versions.begin());
+}
+
+config_version MakeVersion(std::uint64_t version, const config_record& record) {
+  return {version, record.base, record.author, record.text, record.wall_ms};
+}
+
+config_verdict Restate(std::uint64_t offset, const config_record& record,
+                       std::vector<config_version>& versions) {
+  // A document cannot be restated at or before the offset that gave it its version.
+  if (record.restated_version >= offset) return config_verdict::kStale;
+  // A restatement may race with a newer document; the older version must not come back.
+  if (record.restated_version < VersionInForce(versions)) return config_verdict::kStale;
+  if (record.restated_version > VersionInForce(versions)) {
+    Append(versions, MakeVersion(record.restated_version, record));
+  }
+  return config_verdict::kRestated;
+}
+
+// A reader that starts behind a retention gap may not know the base and then reports a conflict
+// where others accept. That only delays it: the next restatement brings the newer version.
+// Accepting an unknown base instead could put a document in force that no one else has.
+config_verdict Propose(std::uint64_t offset, const config_record& record,
+                       std::vector<config_version>& versions) {
+  if (record.base != VersionInForce(versions)) return config_verdict::kConflict;
+  Append(versions, MakeVersion(offset, record));
+  return config_verdict::kAccepted;
+}
+
+}  // namespace
+
+config_decision config_order::Apply(std::uint64_t offset, const config_record& record) {
+  const config_key key{record.environment, record.stage};
+  config_decision decision;
+  if (offset >= next_offset_) {
+    next_offset_ = offset + 1;
+    std::vector<config_version>& versions = versions_[key];
+    decision.verdict = record.restated_version != 0 ? Restate(offset, record, versions)
+                                                    : Propose(offset, record, versions);
+  }
+  if (const config_version* in_force = InForce(key)) decision.in_force = *in_force;
+  return decision;
+}
+
+std::vector<config_key> config_order::Merge(
+    std::span<const std::pair<config_key, config_version>> documents, std::uint64_t next_offset) {
+  std::vector<config_key> changed;
+  for (const auto& [key, version] : documents) {
+    std::vector<config_version>& versions = versions_[key];
+    if (version.version <= VersionInForce(versions)) continue;
+    Append(versions, version);
+    changed.push_back(key);
+  }
+  next_offset_ = std::max(next_offset_, next_offset);
+  return changed;
+}
+
+const config_version* config_order::InForce(const config_key& key) const {
+  const auto found = versions_.find(key);
+  if (found == versions_.end() || found->second.empty()) return nullptr;
+  return &found->second.back();
+}
+
+std::vector<config_version> config_order::History(const config_key& key) const {
+  const auto found = versions_.find(key);
+  if (found == versions_.end()) return {};
+  return {found->second.rbegin(), found->second.rend()};
+}
+
+std::vector<std::pair<config_key, config_version>> config_order::All() const {
+  std::vector<std::pair<config_key, config_version>> documents;
+  for (const auto& [key, versions] : versions_) {
+    if (!versions.empty()) documents.emplace_back(key, versions.back());
+  }
+  return documents;
+}
+
+std::uint64_t config_order::NewestVersion() const {
+  std::uint64_t newest = 0;
+  for (const auto& [key, versions] : versions_) {
+    newest = std::max(newest, VersionInForce(versions));
+  }
+  return newest;
+}
+
+}  // namespace sycamorehinge
