--- /dev/null
+++ b/packages/net/src/host_list_client.cc
@@ -0,0 +1,68 @@
+#include "sycamorehinge/net/host_list_client.h"
+
+#include <optional>
+#include <utility>
+
+#include "json_fields.h"
+
+namespace sycamorehinge {
+
+namespace {
+
+std::optional<listed_host> ReadRow(const nlohmann::json& row) {
+  json_fields fields(row);
+  listed_host host;
+  host.host.value = fields.Text("host");
+  host.environment.value = fields.Text("environment");
+  host.service.value = fields.TextOr("service", "");
+  host.where.region.value = fields.Text("region");
+  host.where.data_centre.value = fields.TextOr("data_centre", "");
+  host.where.rack.value = fields.TextOr("rack", "");
+  host.address = fields.Text("address");
+  const std::string kind = fields.Text("kind");
+  const std::string state = fields.Text("state");
+  const bool known = (kind == "worker" || kind == "target") &&
+                     (state == "live" || state == "leaving") && !host.host.empty();
+  if (!fields.Ok() || !known) return std::nullopt;
+  host.kind = kind == "worker" ? host_kind::kWorker : host_kind::kTarget;
+  host.leaving = state == "leaving";
+  return host;
+}
+
+}  // namespace
+
+result<host_list_page> DecodeHostList(const http_reply& reply) {
+  if (reply.status != 200) return {errc::kHttpStatus, "status " + std::to_string(reply.status)};
+  const nlohmann::json answer = ParseJson(reply.body);
+  json_fields fields(answer);
+  host_list_page page;
+  for (const nlohmann::json& row : fields.Array("hosts")) {
+    auto host = ReadRow(row);
+    if (host) {
+      page.hosts.push_back(std::move(*host));
+    } else {
+      ++page.bad_rows;
+    }
+  }
+  if (!fields.Ok()) return {errc::kInternal, "malformed host list"};
+  return page;
+}
+
+host_list_client::host_list_client(http_client& client, host_list_client_options options)
+    : client_(&client), options_(std::move(options)) {}
+
+void host_list_client::List(completion<std::vector<listed_host>> done) const {
+  http_call call;
+  call.url = options_.address + "/v1/hosts";
+  call.timeout = options_.timeout;
+  client_->Send(std::move(call), [done = std::move(done), report = options_.on_bad_rows](
+                                     const result<http_reply>& outcome) {
+    if (!outcome) return done({outcome.code(), std::string(outcome.detail())});
+    result<host_list_page> page = DecodeHostList(*outcome);
+    if (!page) return done({page.code(), std::string(page.detail())});
+    if (page->bad_rows > 0 && report) report(page->bad_rows);
+    done(std::move(page->hosts));
+  });
+}
+
+}  // namespace sycamorehinge
--- /dev/null
+++ b/packages/net/src/http_transfer.cc
@@ -0,0 +1,168 @@
+#include "http_transfer.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace sycamorehinge {
+
+namespace {
+
+long Milliseconds(duration time) {
+  const auto ms = std::chrono::ceil<std::chrono::milliseconds>(time).count();
+  // Zero means "no timeout" to curl.
+  return static_cast<long>(std::max<std::int64_t>(ms, 1));
+}
+
+std::string_view Trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+std::string_view FailureDetail(CURLcode code) {
+  switch (code) {
+    case CURLE_PARTIAL_FILE:
+      return "truncated answer";
+    case CURLE_GOT_NOTHING:
+    case CURLE_RECV_ERROR:
+    case CURLE_SEND_ERROR:
+      return "connection reset";
+    case CURLE_ABORTED_BY_CALLBACK:
+      return "kept connection closed by the server";
+    default:
+      return curl_easy_strerror(code);
+  }
+}
+
+}  // namespace
+
+http_transfer::http_transfer(easy_handle easy, http_call call, http_client::handler done,
+                             std::size_t default_limit)
+    : easy_(std::move(easy)),
+      call_(std::move(call)),
+      done_(std::move(done)),
+      limit_(call_.max_response_bytes == 0 ? default_limit : call_.max_response_bytes) {
+  SetOptions();
+  SetBody();
+  SetHeaders();
+}
+
+void http_transfer::SetOptions() {
+  CURL* easy = easy_.get();
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(easy, CURLOPT_URL, call_.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  // Names in paths are escaped by the callers; "..", for example, must stay as it is.
+  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, Milliseconds(call_.timeout));
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &http_transfer::OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &http_transfer::OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &http_transfer::OnRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+}
+
+void http_transfer::SetBody() {
+  CURL* easy = easy_.get();
+  if (call_.method == "GET") {
+    curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    return;
+  }
+  if (call_.method == "POST" || !call_.body.empty()) {
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call_.body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call_.body.data());
+  }
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call_.method.c_str());
+}
+
+void http_transfer::SetHeaders() {
+  curl_slist* list = nullptr;
+  for (const http_header& header : call_.headers) {
+    // curl sends an empty header only in the form "Name;".
+    const std::string line =
+        header.value.empty() ? header.name + ";" : header.name + ": " + header.value;
+    list = curl_slist_append(list, line.c_str());
+  }
+  if (!FindHeader(call_.headers, "Content-Type")) {
+    list = curl_slist_append(
+        list, call_.method == "GET" ? "Content-Type:" : "Content-Type: application/octet-stream");
+  }
+  // curl otherwise waits for "100 Continue" before it sends large bodies.
+  list = curl_slist_append(list, "Expect:");
+  headers_.reset(list);
+  curl_easy_setopt(easy_.get(), CURLOPT_HTTPHEADER, list);
+}
+
+bool http_transfer::CountBytes(std::size_t bytes) {
+  received_ += bytes;
+  if (received_ > limit_) too_large_ = true;
+  return !too_large_;
+}
+
+std::size_t http_transfer::OnBody(char* data, std::size_t size, std::size_t count, void* self) {
+  auto* transfer = static_cast<http_transfer*>(self);
+  if (!transfer->CountBytes(size * count)) return 0;
+  transfer->reply_.body.append(data, size * count);
+  return size * count;
+}
+
+std::size_t http_transfer::OnHeader(char* data, std::size_t size, std::size_t count, void* self) {
+  auto* transfer = static_cast<http_transfer*>(self);
+  if (!transfer->CountBytes(size * count)) return 0;
+  transfer->AddHeaderLine({data, size * count});
+  return size * count;
+}
+
+void http_transfer::AddHeaderLine(std::string_view line) {
+  if (line.starts_with("HTTP/")) {
+    reply_.headers.clear();
+    return;
+  }
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos) return;
+  reply_.headers.push_back(
+      {std::string(Trim(line.substr(0, colon))), std::string(Trim(line.substr(colon + 1)))});
+}
+
+// curl sends a request again if a kept connection closes before the first byte of the answer. The
+// first copy may have taken effect, so only GET may be sent twice.
+int http_transfer::OnRequest(void* self, char* /*ip*/, char* /*local_ip*/, int /*port*/,
+                             int /*local_port*/) {
+  auto* transfer = static_cast<http_transfer*>(self);
+  ++transfer->requests_started_;
+  const bool again = transfer->requests_started_ > 1 && transfer->call_.method != "GET";
+  return again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+result<http_reply> http_transfer::Finish(CURLcode code) {
+  if (code == CURLE_OK) {
+    long status = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+    reply_.status = static_cast<int>(status);
+    return std::move(reply_);
+  }
+  const bool sent = requests_started_ > 0;
+  if (code == CURLE_OPERATION_TIMEDOUT) {
+    return {errc::kTimeout, std::string(sent ? std::string_view("no answer") : kNotSentDetail)};
+  }
+  if (code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL) {
+    return {errc::kMalformed, "address: " + call_.url};
+  }
+  if (too_large_) return {errc::kConnectionFailed, "answer too large"};
+  if (!sent) return {errc::kConnectionFailed, std::string(kRefusedDetail)};
+  return {errc::kConnectionFailed, std::string(FailureDetail(code))};
+}
+
+easy_handle http_transfer::TakeHandle() {
+  curl_easy_reset(easy_.get());
+  return std::move(easy_);
+}
+
+}  // namespace sycamorehinge
--- /dev/null
+++ b/packages/net/src/json_fields.cc
@@ -0,0 +1,175 @@
+#include "json_fields.h"
+
+#include <array>
+#include <limits>
+
+namespace sycamorehinge {
+
+namespace {
+
+using nlohmann::json;
+
+// Largest time that fits into `duration`.
+constexpr std::uint64_t kMaxMilliseconds = std::numeric_limits<std::int64_t>::max() / 1000;
+
+std::optional<std::uint64_t> ReadNumber(const json& value) {
+  if (value.is_number_unsigned()) return value.get<std::uint64_t>();
+  if (value.is_number_integer() && value.get<std::int64_t>() >= 0) {
+    return static_cast<std::uint64_t>(value.get<std::int64_t>());
+  }
+  return std::nullopt;
+}
+
+// Absent axes count as zero; false if one is not a number.
+bool ReadAxis(const json& room, const char* name, std::int64_t& axis) {
+  const auto found = room.find(name);
+  if (found == room.end()) return true;
+  const auto number = ReadNumber(*found);
+  if (!number || *number > std::numeric_limits<std::int64_t>::max()) return false;
+  axis = static_cast<std::int64_t>(*number);
+  return true;
+}
+
+bool ReadRoom(const json& value, resources& room) {
+  return value.is_object() && ReadAxis(value, "cores_milli", room.cores_milli) &&
+         ReadAxis(value, "memory_mb", room.memory_mb) &&
+         ReadAxis(value, "accelerators", room.accelerators) && ReadAxis(value, "slots", room.slots);
+}
+
+constexpr std::array<std::int8_t, 256> MakeBase64Table() {
+  constexpr std::string_view kAlphabet =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::array<std::int8_t, 256> table{};
+  table.fill(-1);
+  for (std::size_t i = 0; i < kAlphabet.size(); ++i) {
+    table[static_cast<unsigned char>(kAlphabet[i])] = static_cast<std::int8_t>(i);
+  }
+  return table;
+}
+
+}  // namespace
+
+json ParseJson(std::string_view text) { return json::parse(text, nullptr, false); }
+
+const json* json_fields::Find(const char* name) const {
+  if (!object_->is_object()) return nullptr;
+  const auto found = object_->find(name);
+  return found == object_->end() ? nullptr : &*found;
+}
+
+const json* json_fields::Require(const char* name) {
+  const json* value = Find(name);
+  if (value == nullptr) ok_ = false;
+  return value;
+}
+
+std::string json_fields::Text(const char* name) {
+  const json* value = Require(name);
+  if (value != nullptr && value->is_string()) return value->get<std::string>();
+  ok_ = false;
+  return {};
+}
+
+std::uint64_t json_fields::Number(const char* name) {
+  const json* value = Require(name);
+  const auto number = value == nullptr ? std::nullopt : ReadNumber(*value);
+  if (!number) ok_ = false;
+  return number.value_or(0);
+}
+
+duration json_fields::Milliseconds(const char* name) {
+  const std::uint64_t number = Number(name);
+  if (number > kMaxMilliseconds) {
+    ok_ = false;
+    return {};
+  }
+  return std::chrono::milliseconds(number);
+}
+
+attempt_id json_fields::Attempt(const char* name) {
+  attempt_id id;
+  if (!ParseAttemptId(Text(name), id)) ok_ = false;
+  return id;
+}
+
+resources json_fields::Room(const char* name) {
+  if (Require(name) == nullptr) return {};
+  return RoomOr(name, {});
+}
+
+const json& json_fields::Array(const char* name) {
+  static const json empty = json::array();
+  const json* value = Require(name);
+  if (value != nullptr && value->is_array()) return *value;
+  ok_ = false;
+  return empty;
+}
+
+std::string json_fields::TextOr(const char* name, std::string_view otherwise) {
+  const json* value = Find(name);
+  if (value == nullptr || value->is_null()) return std::string(otherwise);
+  return Text(name);
+}
+
+bool json_fields::FlagOr(const char* name, bool otherwise) {
+  const json* value = Find(name);
+  if (value == nullptr || value->is_null()) return otherwise;
+  if (!value->is_boolean()) {
+    ok_ = false;
+    return otherwise;
+  }
+  return value->get<bool>();
+}
+
+resources json_fields::RoomOr(const char* name, const resources& otherwise) {
+  const json* value = Find(name);
+  if (value == nullptr || value->is_null()) return otherwise;
+  resources room;
+  if (!ReadRoom(*value, room)) ok_ = false;
+  return room;
+}
+
+json ToJson(const resources& size) {
+  return {{"cores_milli", size.cores_milli},
+          {"memory_mb", size.memory_mb},
+          {"accelerators", size.accelerators},
+          {"slots", size.slots}};
+}
+
+std::int64_t ToMilliseconds(duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+std::optional<std::string> DumpJson(const json& value) {
+  try {
+    return value.dump();
+  } catch (const json::type_error&) {
+    return std::nullopt;
+  }
+}
+
+std::optional<std::string> DecodeBase64(std::string_view text) {
+  static constexpr std::array<std::int8_t, 256> kTable = MakeBase64Table();
+  if (text.size() % 4 != 0) return std::nullopt;
+  std::size_t padding = 0;
+  while (padding < 2 && text.ends_with('=')) {
+    text.remove_suffix(1);
+    ++padding;
+  }
+  std::string decoded;
+  decoded.reserve(text.size() * 3 / 4);
+  std::uint32_t bits = 0;
+  int held = 0;
+  for (const char c : text) {
+    const std::int8_t digit = kTable[static_cast<unsigned char>(c)];
+    if (digit < 0) return std::nullopt;
+    bits = (bits << 6) | static_cast<std::uint32_t>(digit);
+    held += 6;
+    if (held < 8) continue;
+    held -= 8;
+    decoded += static_cast<char>((bits >> held) & 0xff);
+  }
+  return decoded;
+}
+
+}  // namespace sycamorehinge
--- /dev/null
+++ b/packages/net/src/log_client.cc
@@ -0,0 +1,114 @@
+#include "sycamorehinge/net/log_client.h"
+
+#include <utility>
+
+#include "json_fields.h"
+#include "url.h"
+
+namespace sycamorehinge {
+
+namespace {
+
+std::string StreamUrl(std::string_view address, std::string_view stream) {
+  return std::string(address) + "/v1/streams/" + EscapeSegment(stream);
+}
+
+// An append whose request was certainly not sent is "unavailable"; every other failure of the
+// connection leaves its outcome open.
+errc AppendFailure(const result<http_reply>& outcome) {
+  const bool not_sent = outcome.detail() == kRefusedDetail || outcome.detail() == kNotSentDetail;
+  return not_sent ? errc::kLogUnavailable : errc::kTimeout;
+}
+
+errc ReadFailure(const result<http_reply>& outcome) {
+  return outcome.code() == errc::kTimeout ? errc::kTimeout : errc::kLogUnavailable;
+}
+
+log_entry ReadEntry(const nlohmann::json& row, bool& ok) {
+  json_fields fields(row);
+  log_entry entry;
+  entry.offset = fields.Number("offset");
+  auto bytes = DecodeBase64(fields.Text("data"));
+  if (!fields.Ok() || !bytes) {
+    ok = false;
+    return entry;
+  }
+  entry.bytes = std::move(*bytes);
+  return entry;
+}
+
+result<log_page> ReadPage(std::string_view body) {
+  const nlohmann::json answer = ParseJson(body);
+  json_fields fields(answer);
+  log_page page;
+  page.oldest = fields.Number("oldest");
+  page.next = fields.Number("next");
+  bool ok = true;
+  for (const nlohmann::json& row : fields.Array("entries")) {
+    page.entries.push_back(ReadEntry(row, ok));
+    if (!ok) break;
+  }
+  if (!ok || !fields.Ok()) return {errc::kLogUnavailable, "malformed answer"};
+  return page;
+}
+
+std::string OldestOffset(std::string_view body) {
+  const nlohmann::json answer = ParseJson(body);
+  json_fields fields(answer);
+  const std::uint64_t oldest = fields.Number("oldest");
+  return fields.Ok() ? std::to_string(oldest) : std::string();
+}
+
+}  // namespace
+
+result<std::uint64_t> DecodeAppendReply(const http_reply& reply) {
+  if (reply.status == 503) return {errc::kLogUnavailable, "status 503"};
+  if (reply.status == 429) return {errc::kOverloaded, "status 429"};
+  if (reply.status != 200) return {errc::kTimeout, "status " + std::to_string(reply.status)};
+  const nlohmann::json answer = ParseJson(reply.body);
+  json_fields fields(answer);
+  const std::uint64_t offset = fields.Number("offset");
+  if (!fields.Ok()) return {errc::kTimeout, "malformed answer"};
+  return offset;
+}
+
+result<log_page> DecodeReadReply(const http_reply& reply) {
+  if (reply.status == 200) return ReadPage(reply.body);
+  if (reply.status == 429) return {errc::kOverloaded, "status 429"};
+  if (reply.status == 410) {
+    std::string oldest = OldestOffset(reply.body);
+    if (!oldest.empty()) return {errc::kOffsetForgotten, std::move(oldest)};
+  }
+  return {errc::kLogUnavailable, "status " + std::to_string(reply.status)};
+}
+
+log_client::log_client(http_client& client, log_client_options options)
+    : client_(&client), options_(std::move(options)) {}
+
+void log_client::Append(std::string_view stream, std::string bytes,
+                        completion<std::uint64_t> done) const {
+  http_call call;
+  call.method = "POST";
+  call.url = StreamUrl(options_.address, stream);
+  call.body = std::move(bytes);
+  call.timeout = options_.append_timeout;
+  client_->Send(std::move(call), [done = std::move(done)](const result<http_reply>& outcome) {
+    if (outcome) return done(DecodeAppendReply(*outcome));
+    done({AppendFailure(outcome), std::string(outcome.detail())});
+  });
+}
+
+void log_client::Read(std::string_view stream, std::uint64_t from, std::uint32_t max,
+                      completion<log_page> done) const {
+  http_call call;
+  call.url = StreamUrl(options_.address, stream) + "?from=" + std::to_string(from) +
+             "&max=" + std::to_string(max);
+  call.timeout = options_.read_timeout;
+  call.max_response_bytes = options_.max_page_bytes;
+  client_->Send(std::move(call), [done = std::move(done)](const result<http_reply>& outcome) {
+    if (outcome) return done(DecodeReadReply(*outcome));
+    done({ReadFailure(outcome), std::string(outcome.detail())});
+  });
+}
+
+}  // namespace sycamorehinge
