--- a/packages/core/include/sycamorehinge/core/pool.h
+++ b/packages/core/include/sycamorehinge/core/pool.h
@@ -199,6 +199,8 @@
 
   pool_summary Summary() const;
   std::vector<host_summary> Hosts() const;
+  // Where room is taken for an attempt; nullopt after a hold has expired.
+  std::optional<placement> PlaceOf(const attempt_id& id) const;
   // Why an item waits, in one sentence for people; empty if the item is unknown.
   std::string Explain(const attempt_id& id) const;
 
--- /dev/null
+++ b/packages/core/include/sycamorehinge/core/shares.h
@@ -0,0 +1,82 @@
+// What each class and tenant holds of the room, against guaranteed shares, limits and quotas.
+#ifndef SYCAMOREHINGE_CORE_SHARES_H_
+#define SYCAMOREHINGE_CORE_SHARES_H_
+
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "sycamorehinge/core/document.h"
+#include "sycamorehinge/core/room.h"
+#include "sycamorehinge/core/types.h"
+
+namespace sycamorehinge {
+
+// The largest of the shares that `size` takes of `capacity` on each axis.
+double DominantShare(const resources& size, const resources& capacity);
+resources Times(const resources& size, std::uint32_t count);
+
+struct class_standing {
+  class_rule rule;
+  // False for a class that the document in force does not name.
+  bool ruled = false;
+  resources held;
+  // Dominant share of the room that the class holds.
+  double share = 0;
+  std::uint64_t running = 0;
+  std::uint64_t waiting = 0;
+  // Held by each tenant of the class.
+  std::vector<resources> tenants;
+
+  // Positive while the class is below its guaranteed share.
+  double Deficit() const { return rule.share - share; }
+};
+
+class share_book {
+ public:
+  class_index ClassOf(const class_id& name);
+  tenant_index TenantOf(const tenant_id& name);
+
+  void SetRules(const environment_document& document);
+  bool HasRules() const { return has_rules_; }
+  void SetCapacity(const resources& capacity);
+  const resources& Capacity() const { return capacity_; }
+
+  void Take(class_index work_class, tenant_index tenant, const resources& size);
+  void Give(class_index work_class, tenant_index tenant, const resources& size);
+  void CountWaiting(class_index work_class, int change) {
+    classes_[work_class].waiting += static_cast<std::uint64_t>(change);
+  }
+
+  std::span<const class_standing> Classes() const { return classes_; }
+  const class_standing& Class(class_index work_class) const { return classes_[work_class]; }
+  // Dominant share of a tenant within a class, divided by the tenant's weight.
+  double TenantShare(class_index work_class, tenant_index tenant) const;
+  // Whether the tenant's quota allows `size` beside what the tenant already holds.
+  bool QuotaAllows(tenant_index tenant, const resources& size) const;
+  // Whether the tenant's quota could ever allow `size`.
+  bool QuotaCouldAllow(tenant_index tenant, const resources& size) const;
+  // Whether the class's limit allows `size` beside what the class holds.
+  bool LimitAllows(class_index work_class, const resources& size) const;
+  // Sum of the unused guarantees of all other classes, as a share of the room.
+  double UnusedGuarantees(class_index except) const;
+
+ private:
+  struct tenant_standing {
+    tenant_rule rule;
+    resources held;
+  };
+  void ApplyRule(class_standing& standing);
+
+  std::vector<class_standing> classes_;
+  std::vector<tenant_standing> tenants_;
+  std::unordered_map<class_id, class_index> class_numbers_;
+  std::unordered_map<tenant_id, tenant_index> tenant_numbers_;
+  resources capacity_;
+  bool has_rules_ = false;
+};
+
+}  // namespace sycamorehinge
+
+#endif  // SYCAMOREHINGE_CORE_SHARES_H_
--- /dev/null
+++ b/packages/core/src/placement.cc
@@ -0,0 +1,173 @@
+#include "sycamorehinge/core/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+
+namespace sycamorehinge {
+
+namespace {
+
+// Hosts scored and hosts looked at for one choice: bounds the time of a decision. More than 24
+// scored hosts did not pack tighter.
+constexpr int kMaxScored = 24;
+constexpr int kMaxVisited = 96;
+constexpr int kRandomTries = 8;
+
+using score_function = double (*)(const indexed_host&, const resources&);
+
+double FreeShare(std::int64_t free, std::int64_t capacity) {
+  return capacity > 0 ? static_cast<double>(free) / static_cast<double>(capacity) : 0;
+}
+
+// Room left on the host, and how unevenly it is left: room on one axis alone is of no use.
+double PackScore(const indexed_host& host, const resources& size) {
+  const resources left = host.free - size;
+  const double cores = FreeShare(left.cores_milli, host.capacity.cores_milli);
+  const double memory = FreeShare(left.memory_mb, host.capacity.memory_mb);
+  const double slots = FreeShare(left.slots, host.capacity.slots);
+  const double accelerators = FreeShare(left.accelerators, host.capacity.accelerators);
+  return cores + memory + slots + accelerators + std::abs(cores - memory);
+}
+
+double SpreadScore(const indexed_host& host, const resources& size) {
+  const resources left = host.free - size;
+  double least = 1;
+  const auto consider = [&least](std::int64_t free, std::int64_t capacity) {
+    if (capacity > 0) least = std::min(least, FreeShare(free, capacity));
+  };
+  consider(left.cores_milli, host.capacity.cores_milli);
+  consider(left.memory_mb, host.capacity.memory_mb);
+  consider(left.slots, host.capacity.slots);
+  return -least;
+}
+
+bool IsAvoided(const placement_request& request, host_slot host) {
+  return std::find(request.avoid.begin(), request.avoid.end(), host) != request.avoid.end();
+}
+
+host_slot ChooseInGroup(const placement_request& request, const host_index& index, host_group group,
+                        bool ascending, score_function score) {
+  if (!index.MayHold(group, request.size)) return kNoSlot;
+  host_slot best = kNoSlot;
+  double best_score = std::numeric_limits<double>::max();
+  int scored = 0;
+  int visited = 0;
+  index.VisitByRoom(group, request.size, ascending, [&](host_slot host) {
+    ++visited;
+    const indexed_host& entry = index.At(host);
+    if (entry.free.Holds(request.size) && !IsAvoided(request, host)) {
+      ++scored;
+      const double value = score(entry, request.size);
+      if (value < best_score) {
+        best_score = value;
+        best = host;
+      }
+    }
+    return scored < kMaxScored && visited < kMaxVisited;
+  });
+  if (best != kNoSlot) return best;
+  return index.FindFirst(group, request.size, request.avoid);
+}
+
+// Accelerator hosts serve other work only when no plain host has room.
+host_slot ChooseByScore(const placement_request& request, const host_index& index, bool ascending,
+                        score_function score) {
+  constexpr std::array kOrder = {host_group::kDrained, host_group::kPlain,
+                                 host_group::kAccelerator};
+  for (const host_group group : kOrder) {
+    if (group == host_group::kDrained && !request.use_drained) continue;
+    if (group == host_group::kPlain && request.size.accelerators > 0) continue;
+    const host_slot host = ChooseInGroup(request, index, group, ascending, score);
+    if (host != kNoSlot) return host;
+  }
+  return kNoSlot;
+}
+
+host_slot FirstOfAnyGroup(const placement_request& request, const host_index& index,
+                          host_slot from) {
+  host_slot first = kNoSlot;
+  for (const host_group group :
+       {host_group::kPlain, host_group::kAccelerator, host_group::kDrained}) {
+    if (group == host_group::kDrained && !request.use_drained) continue;
+    first = std::min(first, index.FindFirst(group, request.size, request.avoid, from));
+  }
+  return first;
+}
+
+host_slot ChooseRandom(const placement_request& request, const host_index& index,
+                       std::uint64_t& random) {
+  if (index.Size() == 0) return kNoSlot;
+  host_slot host = 0;
+  for (int tries = 0; tries < kRandomTries; ++tries) {
+    host = static_cast<host_slot>(NextRandom(random) % index.Size());
+    const indexed_host& entry = index.At(host);
+    if (entry.group == host_group::kUnavailable) continue;
+    if (entry.group == host_group::kDrained && !request.use_drained) continue;
+    if (entry.free.Holds(request.size) && !IsAvoided(request, host)) return host;
+  }
+  const host_slot after = FirstOfAnyGroup(request, index, host);
+  return after != kNoSlot ? after : FirstOfAnyGroup(request, index, 0);
+}
+
+host_slot ChooseOne(const placement_policy& policy, const placement_request& request,
+                    const host_index& index, std::uint64_t& random) {
+  return std::visit(overloaded{
+                        [&](spread) { return ChooseByScore(request, index, false, SpreadScore); },
+                        [&](pack) { return ChooseByScore(request, index, true, PackScore); },
+                        [&](all_at_once) { return ChooseByScore(request, index, true, PackScore); },
+                        [&](random_fit) { return ChooseRandom(request, index, random); },
+                        [&](first_fit) { return FirstOfAnyGroup(request, index, 0); },
+                    },
+                    policy);
+}
+
+}  // namespace
+
+placement_policy PolicyByName(placement_name name) {
+  switch (name) {
+    case placement_name::kSpread:
+      return spread{};
+    case placement_name::kPack:
+      return pack{};
+    case placement_name::kAllAtOnce:
+      return all_at_once{};
+    case placement_name::kRandom:
+      return random_fit{};
+    case placement_name::kFirstFit:
+      return first_fit{};
+  }
+  return pack{};
+}
+
+bool ChooseHosts(const placement_policy& policy, const placement_request& request,
+                 host_index& index, std::uint64_t& random, std::vector<host_slot>& out) {
+  const std::size_t before = out.size();
+  const bool fill = std::holds_alternative<all_at_once>(policy);
+  while (out.size() - before < request.count) {
+    const host_slot host = ChooseOne(policy, request, index, random);
+    if (host == kNoSlot) break;
+    do {
+      out.push_back(host);
+      index.SetFree(host, index.At(host).free - request.size);
+    } while (fill && out.size() - before < request.count &&
+             index.At(host).free.Holds(request.size));
+  }
+  const bool all = out.size() - before == request.count;
+  for (std::size_t i = before; i < out.size(); ++i) {
+    index.SetFree(out[i], index.At(out[i]).free + request.size);
+  }
+  if (!all) out.resize(before);
+  return all;
+}
+
+std::uint64_t NextRandom(std::uint64_t& state) {
+  state += 0x9e3779b97f4a7c15ULL;
+  std::uint64_t mixed = state;
+  mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebULL;
+  return mixed ^ (mixed >> 31);
+}
+
+}  // namespace sycamorehinge
--- /dev/null
+++ b/packages/core/src/pool_drain.cc
@@ -0,0 +1,293 @@
+#include <algorithm>
+#include <limits>
+
+#include "pool_state.h"
+
+namespace sycamorehinge {
+
+namespace {
+
+// A drain that has not made room after this time gives its hosts back.
+constexpr duration kLongestDrain = std::chrono::seconds(30);
+constexpr duration kPauseBetweenDrains = std::chrono::seconds(2);
+constexpr duration kDrainRetry = std::chrono::milliseconds(500);
+// Smaller pools are never drained: one host is too much of their room.
+constexpr std::size_t kMinHostsToDrain = 4;
+// Hosts drained for single tasks, as a share of all.
+constexpr double kMaxDrainedForTasks = 0.1;
+// A large task is one of which a host holds at most this many.
+constexpr std::int64_t kLargeTask = 4;
+constexpr duration kDrainForTaskAfter = std::chrono::seconds(1);
+// Waiting items of one class for which work is preempted at one time.
+constexpr int kPreemptWindow = 16;
+constexpr int kMaxVictimsLookedAt = 32;
+// A preempted task has this time to checkpoint and stop before more work is preempted.
+constexpr duration kPreemptAgain = std::chrono::seconds(5);
+
+std::int64_t TimesIn(const resources& room, const resources& size) {
+  std::int64_t times = std::numeric_limits<std::int32_t>::max();
+  const auto consider = [&times](std::int64_t amount, std::int64_t each) {
+    if (each > 0) times = std::min(times, std::max<std::int64_t>(amount, 0) / each);
+  };
+  consider(room.cores_milli, size.cores_milli);
+  consider(room.memory_mb, size.memory_mb);
+  consider(room.accelerators, size.accelerators);
+  consider(room.slots, size.slots);
+  return times;
+}
+
+}  // namespace
+
+bool pool::state::HasDrain(queue_slot slot) const {
+  return std::any_of(drains.begin(), drains.end(),
+                     [slot](const host_drain& drain) { return drain.slot == slot; });
+}
+
+void pool::state::AddDrain(queue_slot slot, bool gang, std::span<const host_slot> hosts,
+                           time_point until) {
+  host_drain drain{slot, queue.At(slot).generation, gang, {hosts.begin(), hosts.end()}, until};
+  drained.resize(ledger.Hosts().size());
+  for (const host_slot host : hosts) {
+    drained[host] = 1;
+    RefreshHost(host);
+  }
+  drains.push_back(std::move(drain));
+}
+
+void pool::state::EndDrain(std::size_t position) {
+  const host_drain drain = std::move(drains[position]);
+  drains.erase(drains.begin() + static_cast<std::ptrdiff_t>(position));
+  for (const host_slot host : drain.hosts) {
+    drained[host] = 0;
+    RefreshHost(host);
+  }
+  // The hosts' room is open to all again.
+  not_fitting.clear();
+}
+
+void pool::state::EndDrainOf(queue_slot slot) {
+  for (std::size_t i = drains.size(); i-- > 0;) {
+    if (drains[i].slot == slot) EndDrain(i);
+  }
+}
+
+void pool::state::EndLateDrains(time_point now) {
+  for (std::size_t i = drains.size(); i-- > 0;) {
+    if (drains[i].until > now) continue;
+    const host_drain late = drains[i];
+    if (late.gang) {
+      next_gang_drain = now + kPauseBetweenDrains;
+      timers.Push(
+          {next_gang_drain + kDrainRetry, timer_kind::kDrainStart, late.slot, late.generation});
+    }
+    EndDrain(i);
+  }
+}
+
+std::size_t pool::state::DrainableHosts() const {
+  std::size_t hosts = 0;
+  for (const auto& [capacity, count] : shapes) hosts += static_cast<std::size_t>(count);
+  return hosts < kMinHostsToDrain ? 0 : hosts;
+}
+
+// The hosts that need the least room to be freed, at most the class's share of all hosts.
+std::vector<host_slot> pool::state::HostsToDrain(const queue_item& entry) const {
+  struct candidate {
+    double free = 0;
+    host_slot host = 0;
+    std::int64_t tasks = 0;
+  };
+  std::vector<candidate> candidates;
+  for (host_slot host = 0; host < index.Size(); ++host) {
+    const indexed_host& at = index.At(host);
+    if (at.group != host_group::kPlain && at.group != host_group::kAccelerator) continue;
+    const std::int64_t tasks = TimesIn(at.capacity, entry.item.size);
+    if (tasks == 0) continue;
+    const auto now = static_cast<double>(TimesIn(at.free, entry.item.size));
+    candidates.push_back({now / static_cast<double>(tasks), host, tasks});
+  }
+  std::sort(candidates.begin(), candidates.end(), [](const candidate& a, const candidate& b) {
+    return a.free != b.free ? a.free > b.free : a.host < b.host;
+  });
+  const double share = shares.Class(entry.work_class).rule.share;
+  const auto limit = std::max<std::size_t>(
+      1, static_cast<std::size_t>(share * static_cast<double>(DrainableHosts())));
+  std::vector<host_slot> hosts;
+  std::int64_t tasks = 0;
+  for (const candidate& c : candidates) {
+    if (tasks >= entry.item.count || hosts.size() >= limit) break;
+    hosts.push_back(c.host);
+    tasks += c.tasks;
+  }
+  return hosts;
+}
+
+void pool::state::StartGangDrain(queue_slot slot, time_point now) {
+  queue_item& entry = queue.At(slot);
+  const bool busy =
+      std::any_of(drains.begin(), drains.end(), [](const host_drain& drain) { return drain.gang; });
+  const bool may = MayPlace(entry.item, entry.work_class, entry.tenant) == wait_reason::kNone;
+  if (busy || !may || now < next_gang_drain || DrainableHosts() == 0) {
+    timers.Push({now + kDrainRetry, timer_kind::kDrainStart, slot, entry.generation});
+    return;
+  }
+  const std::vector<host_slot> hosts = HostsToDrain(entry);
+  AddDrain(slot, true, hosts, now + kLongestDrain);
+  entry.next_try = now;
+}
+
+bool pool::state::MayDrainForTask() const {
+  const auto hosts = static_cast<double>(DrainableHosts());
+  if (hosts == 0) return false;
+  return static_cast<double>(drains.size()) < std::max(1.0, kMaxDrainedForTasks * hosts);
+}
+
+// Small work takes every bit of room that large work of the same class waits for, so the oldest
+// large task of each class gets a host drained.
+void pool::state::DrainForLargeTasks(time_point now) {
+  for (class_index c = 0; c < shares.Classes().size(); ++c) {
+    const queue_slot slot = queue.Oldest(c);
+    if (slot == kNoSlot || !MayDrainForTask()) continue;
+    const queue_item& entry = queue.At(slot);
+    if (now - entry.enqueued < kDrainForTaskAfter || entry.item.count > 1) continue;
+    if (HasDrain(slot)) continue;
+    if (MayPlace(entry.item, c, entry.tenant) != wait_reason::kNone) continue;
+    const std::vector<host_slot> hosts = HostsToDrain(entry);
+    if (hosts.empty()) continue;
+    if (TimesIn(ledger.Host(hosts.front()).capacity, entry.item.size) > kLargeTask) continue;
+    AddDrain(slot, false, {hosts.data(), 1}, now + kLongestDrain);
+  }
+}
+
+time_point pool::state::NextLargeTask() const {
+  time_point next = time_point::max();
+  for (class_index c = 0; c < shares.Classes().size(); ++c) {
+    const queue_slot slot = queue.Oldest(c);
+    if (slot == kNoSlot) continue;
+    const time_point due = queue.At(slot).enqueued + kDrainForTaskAfter;
+    if (due > last_now) next = std::min(next, due);
+  }
+  return next;
+}
+
+double pool::state::ShareAfterPreemption(class_index work_class) const {
+  const resources leaving = work_class < preempting.size() ? preempting[work_class] : resources();
+  return DominantShare(shares.Class(work_class).held - leaving, shares.Capacity());
+}
+
+class_index pool::state::MostOverShare() const {
+  class_index most = kNoSlot;
+  double largest = 0;
+  for (class_index c = 0; c < shares.Classes().size(); ++c) {
+    const double over = ShareAfterPreemption(c) - shares.Class(c).rule.share;
+    if (over <= largest || ledger.NewestPreemptible(c) == kNoSlot) continue;
+    largest = over;
+    most = c;
+  }
+  return most;
+}
+
+bool pool::state::IsVictim(const room_work& work) const {
+  return work.preemptible && !work.preempting && !work.held &&
+         ShareAfterPreemption(work.work_class) > shares.Class(work.work_class).rule.share;
+}
+
+bool pool::state::CanMakeRoom(host_slot host, const resources& size) const {
+  const host_group group = GroupOf(host);
+  if (group == host_group::kUnavailable || group == host_group::kDrained) return false;
+  resources room = ledger.Free(host);
+  for (work_slot w = ledger.Host(host).first; w != kNoSlot; w = ledger.Work(w).next) {
+    if (IsVictim(ledger.Work(w))) room += ledger.Work(w).taken;
+  }
+  return room.Holds(size);
+}
+
+// Preempts the most recent victims on the host until `size` will fit.
+void pool::state::MakeRoom(host_slot host, const resources& size, std::vector<pool_action>& out) {
+  resources room = ledger.Free(host);
+  preempting.resize(std::max(preempting.size(), shares.Classes().size()));
+  for (work_slot w = ledger.Host(host).first; w != kNoSlot; w = ledger.Work(w).next) {
+    if (room.Holds(size)) return;
+    const room_work& work = ledger.Work(w);
+    if (work.preempting) room += work.taken;
+    if (!IsVictim(work)) continue;
+    room += work.taken;
+    ledger.MarkPreempting(w);
+    preempting[work.work_class] += work.size;
+    out.emplace_back(preemption_wanted{work.id, ledger.Host(host).id});
+  }
+}
+
+bool pool::state::PreemptForGang(queue_slot slot, std::vector<pool_action>& out) {
+  const resources size = queue.At(slot).item.size;
+  const auto drain = std::find_if(drains.begin(), drains.end(),
+                                  [slot](const host_drain& entry) { return entry.slot == slot; });
+  if (drain == drains.end()) return false;
+  std::int64_t tasks = queue.At(slot).item.count;
+  for (const host_slot host : drain->hosts) {
+    const std::int64_t fits = std::min(tasks, TimesIn(ledger.Host(host).capacity, size));
+    if (fits <= 0) break;
+    MakeRoom(host, Times(size, static_cast<std::uint32_t>(fits)), out);
+    tasks -= fits;
+  }
+  return true;
+}
+
+bool pool::state::PreemptForItem(queue_slot slot, time_point now, std::vector<pool_action>& out) {
+  const queue_item& entry = queue.At(slot);
+  if (entry.item.count > 1) return PreemptForGang(slot, out);
+  const class_index over = MostOverShare();
+  if (over == kNoSlot || over == entry.work_class) return false;
+  work_slot victim = ledger.NewestPreemptible(over);
+  for (int n = 0; n < kMaxVictimsLookedAt && victim != kNoSlot; ++n) {
+    const room_work& work = ledger.Work(victim);
+    const host_slot host = work.host;
+    victim = work.next_preemptible;
+    if (!IsVictim(work) || !CanMakeRoom(host, entry.item.size)) continue;
+    if (std::find(entry.avoid.begin(), entry.avoid.end(), host) != entry.avoid.end()) continue;
+    MakeRoom(host, entry.item.size, out);
+    const auto limit =
+        static_cast<std::size_t>(kMaxDrainedForTasks * static_cast<double>(DrainableHosts()));
+    if (drains.size() < limit) AddDrain(slot, false, {&host, 1}, now + kPreemptAgain);
+    return true;
+  }
+  return false;
+}
+
+void pool::state::Preempt(time_point now, std::vector<pool_action>& out) {
+  if (std::holds_alternative<fifo>(options.order)) return;
+  for (class_index c = 0; c < shares.Classes().size(); ++c) {
+    if (shares.Class(c).waiting == 0 || shares.Class(c).Deficit() <= 0) continue;
+    resources asked = shares.Class(c).held;
+    queue_slot slot = queue.Oldest(c);
+    for (int n = 0; n < kPreemptWindow && slot != kNoSlot; ++n) {
+      queue_item& entry = queue.At(slot);
+      const queue_slot next = queue.NextInClass(slot);
+      const bool enough = DominantShare(asked, shares.Capacity()) >= shares.Class(c).rule.share;
+      if (entry.next_preempt <= now) {
+        entry.preemption_asked = !enough && PreemptForItem(slot, now, out);
+        entry.next_preempt =
+            now +
+            (entry.preemption_asked ? kPreemptAgain : std::max(options.preempt_after, kDrainRetry));
+      }
+      if (entry.preemption_asked) asked += Times(entry.item.size, entry.item.count);
+      slot = next;
+    }
+  }
+}
+
+time_point pool::state::NextPreemption() const {
+  time_point next = time_point::max();
+  if (std::holds_alternative<fifo>(options.order)) return next;
+  for (class_index c = 0; c < shares.Classes().size(); ++c) {
+    if (shares.Class(c).waiting == 0 || shares.Class(c).Deficit() <= 0) continue;
+    queue_slot slot = queue.Oldest(c);
+    for (int n = 0; n < kPreemptWindow && slot != kNoSlot; ++n) {
+      next = std::min(next, queue.At(slot).next_preempt);
+      slot = queue.NextInClass(slot);
+    }
+  }
+  return next;
+}
+
+}  // namespace sycamorehinge
--- /dev/null
+++ b/packages/core/src/shares.cc
@@ -0,0 +1,144 @@
+#include "sycamorehinge/core/shares.h"
+
+#include <algorithm>
+
+namespace sycamorehinge {
+
+namespace {
+
+bool WithinQuota(const resources& quota, const resources& held) {
+  const auto within = [](std::int64_t limit, std::int64_t amount) {
+    return limit == 0 || amount <= limit;
+  };
+  return within(quota.cores_milli, held.cores_milli) && within(quota.memory_mb, held.memory_mb) &&
+         within(quota.accelerators, held.accelerators) && within(quota.slots, held.slots);
+}
+
+// Without a document nothing is guaranteed to another class, so nothing needs to be kept back.
+class_rule RuleWithoutDocument(const class_id& name) {
+  class_rule rule;
+  rule.name = name;
+  rule.share = 1;
+  return rule;
+}
+
+}  // namespace
+
+double DominantShare(const resources& size, const resources& capacity) {
+  double largest = 0;
+  const auto consider = [&largest](std::int64_t amount, std::int64_t total) {
+    if (total > 0) {
+      largest = std::max(largest, static_cast<double>(amount) / static_cast<double>(total));
+    }
+  };
+  consider(size.cores_milli, capacity.cores_milli);
+  consider(size.memory_mb, capacity.memory_mb);
+  consider(size.accelerators, capacity.accelerators);
+  consider(size.slots, capacity.slots);
+  return largest;
+}
+
+resources Times(const resources& size, std::uint32_t count) {
+  const std::int64_t factor = count;
+  return {size.cores_milli * factor, size.memory_mb * factor, size.accelerators * factor,
+          size.slots * factor};
+}
+
+class_index share_book::ClassOf(const class_id& name) {
+  const auto [found, added] =
+      class_numbers_.try_emplace(name, static_cast<class_index>(classes_.size()));
+  if (added) {
+    classes_.emplace_back();
+    classes_.back().rule = has_rules_ ? class_rule{} : RuleWithoutDocument(name);
+    classes_.back().rule.name = name;
+  }
+  return found->second;
+}
+
+tenant_index share_book::TenantOf(const tenant_id& name) {
+  const auto [found, added] =
+      tenant_numbers_.try_emplace(name, static_cast<tenant_index>(tenants_.size()));
+  if (added) {
+    tenants_.emplace_back();
+    tenants_.back().rule.name = name;
+  }
+  return found->second;
+}
+
+void share_book::SetRules(const environment_document& document) {
+  has_rules_ = true;
+  for (class_standing& standing : classes_) {
+    const class_id name = standing.rule.name;
+    standing.rule = class_rule{};
+    standing.rule.name = name;
+    standing.ruled = false;
+  }
+  for (const class_rule& rule : document.classes) {
+    class_standing& standing = classes_[ClassOf(rule.name)];
+    standing.rule = rule;
+    standing.ruled = true;
+  }
+  for (tenant_standing& standing : tenants_) {
+    const tenant_id name = standing.rule.name;
+    standing.rule = tenant_rule{};
+    standing.rule.name = name;
+  }
+  for (const tenant_rule& rule : document.tenants) tenants_[TenantOf(rule.name)].rule = rule;
+}
+
+void share_book::SetCapacity(const resources& capacity) {
+  capacity_ = capacity;
+  for (class_standing& standing : classes_) {
+    standing.share = DominantShare(standing.held, capacity_);
+  }
+}
+
+void share_book::Take(class_index work_class, tenant_index tenant, const resources& size) {
+  class_standing& standing = classes_[work_class];
+  if (tenant >= standing.tenants.size()) standing.tenants.resize(tenant + 1);
+  standing.held += size;
+  standing.tenants[tenant] += size;
+  tenants_[tenant].held += size;
+  standing.share = DominantShare(standing.held, capacity_);
+  ++standing.running;
+}
+
+void share_book::Give(class_index work_class, tenant_index tenant, const resources& size) {
+  class_standing& standing = classes_[work_class];
+  standing.held -= size;
+  standing.tenants[tenant] -= size;
+  tenants_[tenant].held -= size;
+  standing.share = DominantShare(standing.held, capacity_);
+  --standing.running;
+}
+
+double share_book::TenantShare(class_index work_class, tenant_index tenant) const {
+  const class_standing& standing = classes_[work_class];
+  if (tenant >= standing.tenants.size()) return 0;
+  const double weight = std::max(tenants_[tenant].rule.weight, 1e-6);
+  return DominantShare(standing.tenants[tenant], capacity_) / weight;
+}
+
+bool share_book::QuotaAllows(tenant_index tenant, const resources& size) const {
+  return WithinQuota(tenants_[tenant].rule.quota, tenants_[tenant].held + size);
+}
+
+bool share_book::QuotaCouldAllow(tenant_index tenant, const resources& size) const {
+  return WithinQuota(tenants_[tenant].rule.quota, size);
+}
+
+bool share_book::LimitAllows(class_index work_class, const resources& size) const {
+  const class_standing& standing = classes_[work_class];
+  if (standing.rule.limit >= 1) return true;
+  return DominantShare(standing.held + size, capacity_) <= standing.rule.limit;
+}
+
+double share_book::UnusedGuarantees(class_index except) const {
+  double unused = 0;
+  for (class_index index = 0; index < classes_.size(); ++index) {
+    if (index != except) unused += std::max(0.0, classes_[index].Deficit());
+  }
+  return unused;
+}
+
+}  // namespace sycamorehinge
