--- a/packages/settings/src/environment.cc
+++ b/packages/settings/src/environment.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::int64_t kMaxDurationMs = 24 * 3600 * 1000;
+constexpr std::int64_t kMaxDurationMs = 86'400'000;
 constexpr std::int64_t kMaxSlots = 10'000;
 constexpr double kMaxCores = 1e7;
 constexpr double kMaxMemoryGb = 1e7;
--- a/packages/settings/src/section_reader.cc
+++ b/packages/settings/src/section_reader.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <tuple>
 
+#include "nesting_guard.h"
+
 namespace sycamorehinge {
 
 namespace {
@@ -35,7 +37,7 @@
 
 void mistake_list::Add(const toml::source_region& where, std::string_view key, errc code,
                        std::string expected, std::string_view nearest) {
-  if (mistakes_.size() >= kMaxMistakes) return;
+  if (IsFull()) return;
   mistakes_.push_back({file_, where.begin.line, where.begin.column, Printable(key), code,
                        std::move(expected), std::string(nearest)});
 }
@@ -98,6 +100,7 @@
     Report(key, errc::kMalformed, "expected " + expected);
     return;
   }
+  if (IsTooLong(key, array->size())) return;
   std::vector<std::string> texts;
   for (const toml::node& item : *array) {
     const auto* text = item.as_string();
@@ -158,6 +161,12 @@
   return table;
 }
 
+bool section_reader::IsTooLong(std::string_view key, std::size_t length) {
+  if (length <= kMaxListLength) return false;
+  Report(key, errc::kTooLarge, "expected at most " + std::to_string(kMaxListLength) + " entries");
+  return true;
+}
+
 std::vector<std::pair<std::string, const toml::table*>> section_reader::TakeTables(
     std::string_view key) {
   std::vector<std::pair<std::string, const toml::table*>> tables;
@@ -168,6 +177,7 @@
     Report(key, errc::kMalformed, "expected a list of tables");
     return tables;
   }
+  if (IsTooLong(key, array->size())) return tables;
   for (std::size_t index = 0; index < array->size(); ++index) {
     const std::string full = FullKey(key) + "[" + std::to_string(index) + "]";
     const toml::table* table = (*array)[index].as_table();
@@ -182,6 +192,7 @@
 
 void section_reader::Finish() {
   for (const auto& [key, node] : table_) {
+    if (mistakes_.IsFull()) return;
     if (std::find(known_.begin(), known_.end(), key.str()) != known_.end()) continue;
     mistakes_.Add(key.source(), FullKey(key.str()), errc::kUnknownKey, "unknown key",
                   NearestName(key.str(), known_));
@@ -195,6 +206,12 @@
                  "expected at most " + std::to_string(max_bytes) + " bytes");
     return std::nullopt;
   }
+  if (const auto place = FindDeepNesting(text)) {
+    const toml::source_position position{place->line, place->column};
+    mistakes.Add({position, position, nullptr}, "", errc::kMalformed,
+                 "nested deeper than " + std::to_string(kMaxNesting) + " levels");
+    return std::nullopt;
+  }
   try {
     return toml::parse(text);
   } catch (const toml::parse_error& error) {
--- a/packages/settings/src/section_reader.h
+++ b/packages/settings/src/section_reader.h
@@ -26,6 +26,7 @@
 
   void Add(const toml::source_region& where, std::string_view key, errc code, std::string expected,
            std::string_view nearest = {});
+  bool IsFull() const { return mistakes_.size() >= kMaxMistakes; }
   bool empty() const { return mistakes_.empty(); }
   // In the order of the file.
   std::vector<mistake> Take();
@@ -35,6 +36,9 @@
   std::vector<mistake> mistakes_;
 };
 
+// Longest list that a file may hold, which bounds checks for duplicates; 380 tenants are in use.
+inline constexpr std::size_t kMaxListLength = 10'000;
+
 // Range of a number and the unit in which the file gives it.
 struct number_range {
   double least = 0;
@@ -79,6 +83,9 @@
   std::optional<std::int64_t> TakeInteger(std::string_view key, std::int64_t least,
                                           std::int64_t most, std::string_view unit);
 
+  // Reports a list above kMaxListLength.
+  bool IsTooLong(std::string_view key, std::size_t length);
+
   const toml::table& table_;
   std::string path_;
   mistake_list& mistakes_;
--- a/packages/settings/src/text_rules.cc
+++ b/packages/settings/src/text_rules.cc
@@ -33,14 +33,14 @@
 }
 
 bool IsHostAddress(std::string_view text) {
-  constexpr int kOctets = 4;
+  constexpr std::size_t kDots = 3;
+  constexpr std::size_t kMaxDigits = 3;
   constexpr unsigned kMaxOctet = 255;
-  for (int octet = 0; octet < kOctets; ++octet) {
-    const bool last = octet + 1 == kOctets;
-    const std::size_t end = last ? text.size() : text.find('.');
-    if (end == std::string_view::npos || end > 3) return false;
-    if (!IsNumberUpTo(text.substr(0, end), kMaxOctet)) return false;
-    text.remove_prefix(last ? end : end + 1);
+  if (std::count(text.begin(), text.end(), '.') != kDots) return false;
+  for (std::size_t octet = 0; octet <= kDots; ++octet) {
+    const std::size_t end = std::min(text.find('.'), text.size());
+    if (end > kMaxDigits || !IsNumberUpTo(text.substr(0, end), kMaxOctet)) return false;
+    text.remove_prefix(std::min(end + 1, text.size()));
   }
   return true;
 }
--- a/packages/settings/tests/process_settings_test.cc
+++ b/packages/settings/tests/process_settings_test.cc
@@ -66,6 +66,17 @@
   }
 }
 
+// Guards against addresses that the network calls would refuse only after the start.
+TEST_CASE("Listen and peer addresses are checked") {
+  for (const char* address :
+       {"", "127.0.0", "127.0.0.1.1", "127.0.0.256", "1.2.3.", "host", "::1"}) {
+    const std::string text = "[http]\nlisten = \"" + std::string(address) + "\"\n";
+    const std::string report = ToString(ParseSettings(text, "f").Mistakes());
+    INFO(address);
+    CHECK(report.find("http.listen: expected IPv4 address") != std::string::npos);
+  }
+}
+
 // Guards against defaults or ranges that the loader itself would refuse.
 TEST_CASE("Every default lies in its own range") {
   for (const parameter& row : Parameters()) {
