--- a/packages/settings/src/environment.cc
+++ b/packages/settings/src/environment.cc
@@ -1,10 +1,10 @@
 #include "sycamorehinge/settings/environment.h"
 
 #include <array>
-#include <cmath>
 #include <set>
 
 #include "section_reader.h"
+#include "size_reader.h"
 #include "text_rules.h"
 
 namespace sycamorehinge {
@@ -13,9 +13,6 @@
 
 constexpr std::int64_t kMaxDurationMs = 86'400'000;
 constexpr std::int64_t kMaxSlots = 10'000;
-constexpr double kMaxCores = 1e7;
-constexpr double kMaxMemoryGb = 1e7;
-constexpr std::int64_t kMaxAccelerators = 1'000'000;
 constexpr std::int64_t kMaxUrgency = 1'000'000;
 constexpr std::int64_t kMaxOpenJobs = 10'000'000;
 constexpr double kMaxWeight = 1e6;
@@ -26,9 +23,6 @@
                                     placement_name::kAllAtOnce, placement_name::kRandom,
                                     placement_name::kFirstFit};
 
-// Thousandths of a unit, so that 0.1 cores become exactly 100.
-std::int64_t Thousandths(double value) { return std::llround(value * 1000); }
-
 service_rule ReadService(section_reader& reader) {
   service_rule rule;
   reader.Read("name", rule.name.value, kName, true);
@@ -50,21 +44,6 @@
   return rule;
 }
 
-resources ReadQuota(const toml::table& table, const std::string& path, mistake_list& mistakes) {
-  section_reader reader(table, path, mistakes);
-  resources quota;
-  double cores = 0;
-  double memory_gb = 0;
-  reader.Read("cores", cores, {.least = 0, .most = kMaxCores});
-  reader.Read("memory_gb", memory_gb, {.least = 0, .most = kMaxMemoryGb, .unit = "GB"});
-  reader.ReadInteger("accelerators", quota.accelerators, 0, kMaxAccelerators);
-  reader.ReadInteger("slots", quota.slots, 0, kMaxOpenJobs);
-  reader.Finish();
-  quota.cores_milli = Thousandths(cores);
-  quota.memory_mb = Thousandths(memory_gb);
-  return quota;
-}
-
 tenant_rule ReadTenant(section_reader& reader, mistake_list& mistakes) {
   tenant_rule rule;
   reader.Read("name", rule.name.value, kName, true);
@@ -72,7 +51,7 @@
   // A weight of 0 would starve the tenant; the smallest weight keeps divisions finite.
   reader.Read("weight", rule.weight, {.least = 1e-3, .most = kMaxWeight});
   if (const toml::table* quota = reader.TakeTable("quota")) {
-    rule.quota = ReadQuota(*quota, reader.FullKey("quota"), mistakes);
+    rule.quota = ReadSize(*quota, reader.FullKey("quota"), mistakes);
   }
   reader.ReadInteger("max_jobs", rule.max_jobs, 0, kMaxOpenJobs);
   return rule;
--- a/packages/settings/src/section_reader.cc
+++ b/packages/settings/src/section_reader.cc
@@ -139,6 +139,16 @@
   }
 }
 
+void section_reader::Read(std::string_view key, bool& out) {
+  const toml::node* node = Take(key);
+  if (node == nullptr) return;
+  if (const auto* value = node->as_boolean()) {
+    out = value->get();
+  } else {
+    Report(key, errc::kMalformed, "expected true or false");
+  }
+}
+
 std::optional<std::int64_t> section_reader::TakeInteger(std::string_view key, std::int64_t least,
                                                         std::int64_t most, std::string_view unit) {
   const toml::node* node = Take(key);
--- a/packages/settings/src/section_reader.h
+++ b/packages/settings/src/section_reader.h
@@ -56,6 +56,7 @@
   void Read(std::string_view key, std::vector<std::string>& out, const text_rule& rule,
             bool required = false);
   void Read(std::string_view key, double& out, const number_range& range);
+  void Read(std::string_view key, bool& out);
   // A duration, written as a whole number of milliseconds.
   void Read(std::string_view key, duration& out, std::int64_t least_ms, std::int64_t most_ms);
   template <class Integer>
--- a/packages/settings/tests/mutation_test.cc
+++ b/packages/settings/tests/mutation_test.cc
@@ -1,4 +1,4 @@
-// Both parsers on damaged and hostile text: no crash, no hang, and a refusal always says why.
+// All parsers on damaged and hostile text: no crash, no hang, and a refusal always says why.
 #include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "sycamorehinge/settings/environment.h"
+#include "sycamorehinge/settings/job_file.h"
 #include "sycamorehinge/settings/process_settings.h"
 
 namespace sycamorehinge {
@@ -17,13 +18,16 @@
 // Generous for sanitizer builds; 1 MiB of hostile text takes 0.2 s in a release build.
 constexpr auto kMaxParseTime = std::chrono::seconds(5);
 
-constexpr std::array<std::string_view, 2> kSeeds = {
+constexpr std::array<std::string_view, 3> kSeeds = {
     "name = \"e\"\n[[service]]\nname = \"s\"\ntimeout_ms = 10\n[[class]]\nname = 'c'\nshare = 0.5\n"
     "[[tenant]]\nname = \"t\"\nhome = \"h\"\nquota = {cores = 1.5, memory_gb = 2}\n"
     "[placement]\ngang = \"all_at_once\"\n[retry]\nbudget = 0.1\n",
     "[process]\nname = \"e1\"\nregion = \"r\"\ndata_centre = \"d\"\n[peers]\nkey = \"k\"\n"
     "list = [{name = \"e2\", address = \"127.0.0.1:1\", region = \"r\", data_centre = \"d\"}]\n"
-    "[partitions]\nregions = [\"r\"]\n[access]\ncallers = [\"ENV:T\"] # comment\n"};
+    "[partitions]\nregions = [\"r\"]\n[access]\ncallers = [\"ENV:T\"] # comment\n",
+    "environment = \"e\"\ntenant = \"t\"\nclass = \"c\"\nkind = \"gang\"\ntasks = 4\n"
+    "size = {cores = 2, memory_gb = 1.5}\nrun_ms = 10\nidempotent = false\npayload = "
+    "\"\"\"p\"\"\"\n"};
 
 constexpr std::array<std::string_view, 14> kTokens = {"[",     "]]",
                                                       "{",     "\"\"\"",
@@ -54,16 +58,18 @@
   }
 }
 
-// Parses the text as both formats and checks what is common to all answers.
-void CheckBoth(const std::string& text) {
+// Parses the text in all formats and checks what is common to all answers.
+void CheckAll(const std::string& text) {
   const auto start = std::chrono::steady_clock::now();
   const auto document = ParseEnvironment(text, "document");
   const auto settings = ParseSettings(text, "settings");
+  const auto job = ParseJob(text, "job");
   REQUIRE(std::chrono::steady_clock::now() - start < kMaxParseTime);
   REQUIRE(static_cast<bool>(document) == document.Mistakes().empty());
   REQUIRE(static_cast<bool>(settings) == settings.Mistakes().empty());
   REQUIRE(document.Mistakes().size() <= kMaxMistakes);
   REQUIRE(settings.Mistakes().size() <= kMaxMistakes);
+  REQUIRE(static_cast<bool>(job) == job.Mistakes().empty());
   // A document that is accepted must survive its canonical form.
   if (document) REQUIRE(ParseEnvironment(EnvironmentText(*document), "canonical"));
 }
@@ -82,7 +88,7 @@
     const std::uint64_t changes = random() % 8;
     for (std::uint64_t i = 0; i <= changes; ++i) Mutate(text, random);
     INFO("seed " << kSeed << ", round " << round);
-    CheckBoth(text);
+    CheckAll(text);
   }
 }
 
@@ -93,27 +99,27 @@
     std::string text(random() % 512, '\0');
     std::generate(text.begin(), text.end(), [&random] { return static_cast<char>(random()); });
     INFO("seed " << kSeed << ", round " << round);
-    CheckBoth(text);
+    CheckAll(text);
   }
 }
 
 // Guards against the stack overflow of toml++ on long dotted keys, and against quadratic checks.
 TEST_CASE("Deep and wide text is refused in bounded time") {
   constexpr std::size_t kMany = 250'000;
-  CheckBoth(Repeat("a.", kMany) + "a = 1\n");
-  CheckBoth("[" + Repeat("a . ", kMany) + "a]\n");
-  CheckBoth(Repeat("\",\".'='.", kMany / 2) + "a = 1\n");
-  CheckBoth("x = \"\"\"\"\"\"\"\"\n" + Repeat("a.", kMany) + "a = 1\n");
-  CheckBoth("a = " + Repeat("[\n{a.b.c.d.e.f.g.h = ", 10'000));
-  CheckBoth("a = " + Repeat("[", kMany));
-  CheckBoth(Repeat("[[class]]\n", 100'000));
+  CheckAll(Repeat("a.", kMany) + "a = 1\n");
+  CheckAll("[" + Repeat("a . ", kMany) + "a]\n");
+  CheckAll(Repeat("\",\".'='.", kMany / 2) + "a = 1\n");
+  CheckAll("x = \"\"\"\"\"\"\"\"\n" + Repeat("a.", kMany) + "a = 1\n");
+  CheckAll("a = " + Repeat("[\n{a.b.c.d.e.f.g.h = ", 10'000));
+  CheckAll("a = " + Repeat("[", kMany));
+  CheckAll(Repeat("[[class]]\n", 100'000));
   std::string keys;
   for (std::size_t i = 0; i < 90'000; ++i) keys += "k" + std::to_string(i) + "=1\n";
-  CheckBoth(keys);
+  CheckAll(keys);
   std::string regions = "[partitions]\nregions = [";
   for (std::size_t i = 0; i < 90'000; ++i) regions += "\"" + std::to_string(i) + "\",";
-  CheckBoth(regions + "]\n");
-  CheckBoth(std::string(kMaxDocumentBytes + 1, ' '));
+  CheckAll(regions + "]\n");
+  CheckAll(std::string(kMaxDocumentBytes + 1, ' '));
 }
 
 }  // namespace
