--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -50,7 +50,9 @@
   std::vector<http_header_view> views;
   const int count = u_map_count(map);
   for (int i = 0; i < count; ++i) {
-    views.push_back({map->keys[i], {map->values[i], map->lengths[i]}});
+    // The lengths count a closing zero; a parameter without '=' has no value.
+    const char* value = map->values[i];
+    views.push_back({map->keys[i], value == nullptr ? "" : value});
   }
   return views;
 }
--- a/packages/wire/include/sycamorehinge/wire/codec.h
+++ b/packages/wire/include/sycamorehinge/wire/codec.h
@@ -1,8 +1,8 @@
 // Encoding of peer messages, heartbeats and log records with cereal.
 //
-// Layout: one version byte, then cereal's portable binary archive. Decoding arbitrary bytes gives
-// a typed error (kMalformed, kTruncated, kWrongVersion, kTooLarge) and never reads or allocates
-// beyond the input's own size.
+// Layout: one version byte, then a cereal archive with variable-length numbers. Decoding arbitrary
+// bytes gives a typed error (kMalformed, kTruncated, kWrongVersion, kTooLarge), never reads beyond
+// the input, and allocates no more than the elements that are really in the input need.
 #ifndef SYCAMOREHINGE_WIRE_CODEC_H_
 #define SYCAMOREHINGE_WIRE_CODEC_H_
 
@@ -22,6 +22,12 @@
 inline constexpr std::uint8_t kWireVersion = 1;
 // Largest encoded message in bytes; a request body is at most 1 MiB.
 inline constexpr std::size_t kMaxMessageBytes = 4U << 20;
+// Most elements of one list, for example records of one batch; longer lists do not decode. One
+// byte of input can become an element of about 300 bytes, so this bounds a list to 5 MB.
+inline constexpr std::size_t kMaxElements = 16'384;
+
+// Name of the alternative of peer_message with this index, "heartbeat" for any larger index.
+std::string_view MessageName(std::size_t index);
 
 std::string EncodeMessage(const peer_message& message);
 result<peer_message> DecodeMessage(std::string_view bytes);
