--- /dev/null
+++ b/packages/wire/tests/allocation_count.h
@@ -0,0 +1,15 @@
+// Counts what the decoders allocate.
+#ifndef SYCAMOREHINGE_WIRE_TESTS_ALLOCATION_COUNT_H_
+#define SYCAMOREHINGE_WIRE_TESTS_ALLOCATION_COUNT_H_
+
+#include <cstddef>
+
+namespace sycamorehinge {
+
+// Bytes requested from operator new on this thread since the last reset.
+void ResetAllocated();
+std::size_t Allocated();
+
+}  // namespace sycamorehinge
+
+#endif  // SYCAMOREHINGE_WIRE_TESTS_ALLOCATION_COUNT_H_
