Carry the stored answer of a voided request to the partition's owner

Cause: a keyed request whose answer was lost is settled by a void call, which returns the stored answer to the holder; the report to a remote partition owner dropped it, so the caller's retry could not get it. No functional change in core.

--- a/packages/wire/src/message_fields.h
+++ b/packages/wire/src/message_fields.h
@@ -70,7 +70,7 @@
 }
 template <class Archive>
 void serialize(Archive& archive, task_report& value) {
-  Fields(archive, value.id, value.host, value.term, value.fact);
+  Fields(archive, value.id, value.host, value.term, value.fact, value.answer);
 }
 template <class Archive>
 void serialize(Archive& archive, task_lost& value) {
--- a/packages/wire/tests/samples.h
+++ b/packages/wire/tests/samples.h
@@ -50,7 +50,7 @@
           stop_task{id, {"w1"}, true},
           void_task{id, {"w1"}},
           keep_task{id, {"w1"}, ~std::uint64_t{0}},
-          task_report{id, {"w1"}, 4, attempt_fact::kFailed},
+          task_report{id, {"w1"}, 4, attempt_fact::kFailed, "stored"},
           task_lost{id, 5},
           task_preempted{id},
           config_fetch{},
