--- a/packages/core/include/sycamorehinge/core/shares.h
+++ b/packages/core/include/sycamorehinge/core/shares.h
@@ -22,6 +22,8 @@
   // False for a class that the document in force does not name.
   bool ruled = false;
   resources held;
+  // Room that is being drained for waiting work of the class.
+  resources draining;
   // Dominant share of the room that the class holds.
   double share = 0;
   std::uint64_t running = 0;
@@ -45,6 +47,12 @@
 
   void Take(class_index work_class, tenant_index tenant, const resources& size);
   void Give(class_index work_class, tenant_index tenant, const resources& size);
+  void AddDraining(class_index work_class, const resources& size) {
+    classes_[work_class].draining += size;
+  }
+  void RemoveDraining(class_index work_class, const resources& size) {
+    classes_[work_class].draining -= size;
+  }
   void CountWaiting(class_index work_class, int change) {
     classes_[work_class].waiting += static_cast<std::uint64_t>(change);
   }
--- a/packages/core/src/pool_dispatch.cc
+++ b/packages/core/src/pool_dispatch.cc
@@ -56,12 +56,16 @@
 }
 
 wait_reason pool::state::MayPlace(const work_item& item, class_index work_class,
-                                  tenant_index tenant) const {
+                                  tenant_index tenant, bool has_drain) const {
   const resources total = Times(item.size, item.count);
   if (!shares.QuotaAllows(tenant, total)) return wait_reason::kQuota;
   if (!shares.LimitAllows(work_class, total)) return wait_reason::kLimit;
   if (std::holds_alternative<fifo>(options.order)) return wait_reason::kNone;
-  if (shares.Class(work_class).Deficit() > 0) return wait_reason::kNone;
+  // Without a document nothing is guaranteed to another class.
+  if (!shares.HasRules()) return wait_reason::kNone;
+  const class_standing& standing = shares.Class(work_class);
+  const resources claimed = has_drain ? standing.held : standing.held + standing.draining;
+  if (DominantShare(claimed, shares.Capacity()) < standing.rule.share) return wait_reason::kNone;
   // Requests are short, so the room they borrow comes back by itself.
   if (item.kind == work_kind::kRequest) return wait_reason::kNone;
   if (!item.preemptible || !KeepsHeadroom(item, work_class)) return wait_reason::kShare;
@@ -142,7 +146,10 @@
   queue_item& entry = queue.At(slot);
   // The tick refuses what is past its deadline.
   if (entry.item.deadline <= now) return false;
-  if (MayPlace(entry.item, entry.work_class, entry.tenant) != wait_reason::kNone) return false;
+  const bool has_drain = !drains.empty() && HasDrain(slot);
+  if (MayPlace(entry.item, entry.work_class, entry.tenant, has_drain) != wait_reason::kNone) {
+    return false;
+  }
   if (entry.item.count > 1 && entry.next_try > now) {
     if (entry.retry_pending) return false;
     entry.retry_pending = true;
--- a/packages/core/src/pool_drain.cc
+++ b/packages/core/src/pool_drain.cc
@@ -43,9 +43,25 @@
                      [slot](const host_drain& drain) { return drain.slot == slot; });
 }
 
+// Work within its class's share may have hosts drained even while the class has its share: the
+// class then takes less other work.
+bool pool::state::MayDrain(const queue_item& entry) const {
+  const resources total = Times(entry.item.size, entry.item.count);
+  if (!shares.QuotaAllows(entry.tenant, total)) return false;
+  const class_standing& standing = shares.Class(entry.work_class);
+  if (DominantShare(total + standing.draining, shares.Capacity()) <= standing.rule.share) {
+    return true;
+  }
+  return MayPlace(entry.item, entry.work_class, entry.tenant) == wait_reason::kNone;
+}
+
 void pool::state::AddDrain(queue_slot slot, bool gang, std::span<const host_slot> hosts,
                            time_point until) {
-  host_drain drain{slot, queue.At(slot).generation, gang, {hosts.begin(), hosts.end()}, until};
+  const queue_item& entry = queue.At(slot);
+  const resources size = Times(entry.item.size, entry.item.count);
+  host_drain drain{
+      slot, entry.generation, gang, entry.work_class, size, {hosts.begin(), hosts.end()}, until};
+  shares.AddDraining(entry.work_class, size);
   drained.resize(ledger.Hosts().size());
   for (const host_slot host : hosts) {
     drained[host] = 1;
@@ -57,6 +73,7 @@
 void pool::state::EndDrain(std::size_t position) {
   const host_drain drain = std::move(drains[position]);
   drains.erase(drains.begin() + static_cast<std::ptrdiff_t>(position));
+  shares.RemoveDraining(drain.work_class, drain.size);
   for (const host_slot host : drain.hosts) {
     drained[host] = 0;
     RefreshHost(host);
@@ -151,7 +168,7 @@
     const queue_item& entry = queue.At(slot);
     if (now - entry.enqueued < kDrainForTaskAfter || entry.item.count > 1) continue;
     if (HasDrain(slot)) continue;
-    if (MayPlace(entry.item, c, entry.tenant) != wait_reason::kNone) continue;
+    if (!MayDrain(entry)) continue;
     const std::vector<host_slot> hosts = HostsToDrain(entry);
     if (hosts.empty()) continue;
     if (TimesIn(ledger.Host(hosts.front()).capacity, entry.item.size) > kLargeTask) continue;
--- a/packages/core/src/pool_state.h
+++ b/packages/core/src/pool_state.h
@@ -25,6 +25,9 @@
   queue_slot slot = kNoSlot;
   std::uint32_t generation = 0;
   bool gang = false;
+  class_index work_class = 0;
+  // Room that the class keeps for the item.
+  resources size;
   std::vector<host_slot> hosts;
   time_point until;
 };
@@ -64,7 +67,9 @@
   void CountOutcome(const room_work& work, const work_finished& event, time_point now);
 
   // Placing, in pool_dispatch.cc.
-  wait_reason MayPlace(const work_item& item, class_index work_class, tenant_index tenant) const;
+  // An item that has a drain uses the part of its class's share that the drain keeps.
+  wait_reason MayPlace(const work_item& item, class_index work_class, tenant_index tenant,
+                       bool has_drain = false) const;
   bool KeepsHeadroom(const work_item& item, class_index work_class) const;
   bool Choose(const queue_item& entry, time_point now);
   bool ChooseProbe(const queue_item& entry, time_point now);
@@ -92,6 +97,7 @@
   void EndDrainOf(queue_slot slot);
   void EndLateDrains(time_point now);
   bool HasDrain(queue_slot slot) const;
+  bool MayDrain(const queue_item& entry) const;
   void AddDrain(queue_slot slot, bool gang, std::span<const host_slot> hosts, time_point until);
   std::vector<host_slot> HostsToDrain(const queue_item& entry) const;
   std::size_t DrainableHosts() const;
