--- /dev/null
+++ b/packages/core/src/simulated_pool.h
@@ -0,0 +1,98 @@
+// A pool with a small model of its hosts in simulated time, for the bench and the measurements.
+#ifndef SYCAMOREHINGE_CORE_SRC_SIMULATED_POOL_H_
+#define SYCAMOREHINGE_CORE_SRC_SIMULATED_POOL_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "sycamorehinge/core/pool.h"
+
+namespace sycamorehinge {
+
+// What became of the work of one class since counting started.
+struct simulated_class {
+  // Core time held, in millicore microseconds.
+  double held = 0;
+  std::int64_t cores_milli = 0;
+  std::uint64_t offered = 0;
+  std::uint64_t placed = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t finished = 0;
+  std::vector<duration> waits;
+};
+
+class simulated_pool {
+ public:
+  explicit simulated_pool(pool_options options) : target_(options) {}
+
+  void Send(const pool_event& event);
+  void ClaimHosts(std::uint32_t count, const resources& plain, std::uint32_t accelerator_hosts,
+                  std::int64_t accelerators);
+  void SetRules(const environment_document& document);
+  // Offers work that will take `run` on a host.
+  void Offer(const work_item& item, duration run);
+  // Handles finishes and ticks up to `end`.
+  void RunUntil(time_point end);
+  // Counts from now on.
+  void StartCounting();
+
+  void SetFailing(const host_id& host, bool failing);
+  const pool& Target() const { return target_; }
+  time_point Now() const { return now_; }
+  simulated_class& Class(const class_id& name) { return classes_[name]; }
+  const std::map<host_id, std::uint64_t>& Starts() const { return starts_; }
+  std::uint64_t AllStarts() const { return all_starts_; }
+  std::size_t Running() const { return running_.size(); }
+
+  // Called with every event instead of target.Handle, to measure it.
+  std::function<void(pool&, const pool_event&, time_point, std::vector<pool_action>&)> handle;
+  // Called with every action.
+  std::function<void(const pool_action&, time_point)> observe;
+
+ private:
+  struct running_task {
+    work_item item;
+    duration run{};
+    host_id host;
+    time_point started;
+    bool stopping = false;
+  };
+  struct finish {
+    time_point at;
+    attempt_id id;
+    finish_kind outcome = finish_kind::kSucceeded;
+    friend bool operator<(const finish& a, const finish& b) {
+      return a.at != b.at ? a.at > b.at : a.id > b.id;
+    }
+  };
+
+  void Advance(time_point to);
+  void Take(const work_placed& placed);
+  void Take(const work_refused& refused);
+  void Take(const preemption_wanted& wanted);
+  void Take(const overflow_wanted&) {}
+  void Finish(const finish& due);
+  void Again(const running_task& task, duration run);
+
+  pool target_;
+  time_point now_;
+  std::vector<pool_action> actions_;
+  std::unordered_map<attempt_id, duration> waiting_;
+  std::unordered_map<attempt_id, class_id> waiting_class_;
+  std::unordered_map<attempt_id, running_task> running_;
+  std::priority_queue<finish> finishes_;
+  std::map<class_id, simulated_class> classes_;
+  std::set<host_id> failing_;
+  std::map<host_id, std::uint64_t> starts_;
+  std::uint64_t all_starts_ = 0;
+};
+
+}  // namespace sycamorehinge
+
+#endif  // SYCAMOREHINGE_CORE_SRC_SIMULATED_POOL_H_
