--- /dev/null
+++ b/packages/entry/src/main.cc
@@ -0,0 +1,93 @@
+// sycamorehinged: the entry process between callers and back ends.
+#include <csignal>
+
+#include <CLI/CLI.hpp>
+#include <atomic>
+#include <iostream>
+
+#include "entry_process.h"
+#include "sycamorehinge/settings/parameters.h"
+#include "sycamorehinge/settings/secret.h"
+#include "wiring.h"
+
+namespace sycamorehinge {
+namespace {
+
+// Exit codes; docs/operators.md lists them.
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitSettings = 2;
+
+// Signals are taken by sigwait in the main thread only.
+sigset_t BlockSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGUSR1);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+int Run(const process_settings& settings) {
+  const result<std::string> key = ReadSecret(PeerKeySource(settings.peers));
+  if (!key) {
+    std::cerr << "peers: " << key.detail() << "\n";
+    return kExitSettings;
+  }
+  result<access_tokens> tokens = ReadTokens(settings.access);
+  if (!tokens) {
+    std::cerr << tokens.detail() << "\n";
+    return kExitSettings;
+  }
+  const sigset_t signals = BlockSignals();
+  std::atomic<errc> outcome = errc::kOk;
+  const pthread_t main_thread = pthread_self();
+  entry_process process(settings, *key, std::move(*tokens), [&outcome, main_thread](errc code) {
+    outcome = code;
+    pthread_kill(main_thread, SIGUSR1);
+  });
+  if (const errc started = process.Start(); started != errc::kOk) {
+    std::cerr << "cannot start: " << ErrorName(started) << "\n";
+    return kExitFailed;
+  }
+  int signal = 0;
+  while (sigwait(&signals, &signal) == 0) {
+    if (signal == SIGUSR1) break;
+    process.Drain();
+  }
+  if (outcome != errc::kOk) std::cerr << "stopped: " << ErrorName(outcome) << "\n";
+  return outcome == errc::kOk ? kExitOk : kExitFailed;
+}
+
+int Main(int argc, char** argv) {
+  CLI::App app("Entry process of the sycamorehinge cluster scheduler", "sycamorehinged");
+  std::string path;
+  bool check = false;
+  bool help_settings = false;
+  app.set_version_flag("--version", std::string("sycamorehinged ") + SYCAMOREHINGE_VERSION);
+  app.add_option("--settings", path, "TOML file with the settings of this process");
+  app.add_flag("--check", check, "Check the settings and exit");
+  app.add_flag("--help-settings", help_settings, "Print all settings and exit");
+  CLI11_PARSE(app, argc, argv);
+  if (help_settings) {
+    std::cout << ParameterHelp();
+    return kExitOk;
+  }
+  if (path.empty()) {
+    std::cerr << "--settings is required; see --help\n";
+    return kExitSettings;
+  }
+  const parsed<process_settings> settings = LoadSettings(path);
+  if (!settings) {
+    std::cerr << ToString(settings.Mistakes());
+    return kExitSettings;
+  }
+  return check ? kExitOk : Run(*settings);
+}
+
+}  // namespace
+}  // namespace sycamorehinge
+
+int main(int argc, char** argv) { return sycamorehinge::Main(argc, argv); }
--- a/packages/node/include/sycamorehinge/node/ports.h
+++ b/packages/node/include/sycamorehinge/node/ports.h
@@ -140,7 +140,8 @@
   // Wall-clock milliseconds since 1970; for people and deadlines across owners only.
   std::function<std::int64_t()> wall_ms;
   // Errors: kTimeout and kConnectionFailed (unknown whether it took effect; kConnectionFailed with
-  // detail "refused" means it did not), kStaleTerm, kVoided, kNoRoom, kFailed, kMalformed.
+  // detail "refused" and kTimeout with detail "not sent" mean it did not), kStaleTerm, kVoided,
+  // kNoRoom, kFailed, kMalformed.
   std::function<void(const listed_host&, host_call, completion<host_answer>)> call_host;
   // Errors: kLogUnavailable, kTimeout (unknown), kOverloaded (rate).
   std::function<void(std::string_view stream, std::string bytes, completion<std::uint64_t>)> append;
--- a/packages/node/src/host_tasks.cc
+++ b/packages/node/src/host_tasks.cc
@@ -27,6 +27,8 @@
       return attempt_fact::kNever;
     case errc::kFailed:
       return attempt_fact::kFailed;
+    case errc::kTimeout:
+      return answer.detail() == "not sent" ? attempt_fact::kNever : attempt_fact::kUnreachable;
     case errc::kConnectionFailed:
       return answer.detail() == "refused" ? attempt_fact::kNever : attempt_fact::kUnreachable;
     default:
