--- a/packages/core/include/sycamorehinge/core/partition.h
+++ b/packages/core/include/sycamorehinge/core/partition.h
@@ -115,7 +115,7 @@
 struct attempt_preempted {
   attempt_id id;
 };
-// Answer to run_request.
+// Answer to run_request, or to void_attempt of a keyed request.
 struct request_answered {
   attempt_id id;
   attempt_fact fact = attempt_fact::kUnreachable;
@@ -233,7 +233,13 @@
   // Records since the last snapshot after which the stream is rewritten.
   std::uint32_t snapshot_after_records = 20'000;
   duration snapshot_after = std::chrono::minutes(30);
-  // Measured baseline only: start attempts without waiting for the record.
+  // Silence of a holder after a start, beyond which the attempt is resolved.
+  duration start_timeout = std::chrono::seconds(5);
+  // Keyed requests whose target has not told their outcome for this long end as outcome_unknown.
+  duration unknown_retention = std::chrono::hours(24);
+  // Largest number of tasks of one job.
+  std::uint32_t max_tasks = 10'000;
+  // Measured baseline only: start attempts and requests without waiting for the record.
   bool unsafe_start_before_durable = false;
 };
 
@@ -244,11 +250,15 @@
   partition(partition&&) noexcept;
   partition& operator=(partition&&) noexcept;
 
-  // Applies one batch read from the stream, in offset order, before ownership_taken.
+  // Applies one batch read from the stream, in offset order, before ownership_taken. After
+  // ownership_lost the state is empty, and the stream is replayed from its oldest batch.
   void Replay(const stored_batch& stored);
 
   void Handle(const partition_event& event, time_point now, std::vector<partition_action>& out);
 
+  // Earliest time at which a partition_tick would do something; time_point::max() if none.
+  time_point NextTick() const;
+
   bool IsOwner() const;
   std::uint64_t Epoch() const;
   // Null if the job is unknown.
