--- a/packages/core/src/partition.cc
+++ b/packages/core/src/partition.cc
@@ -95,8 +95,8 @@
     }
   }
   for (auto& [id, live] : requests) {
-    // A run that was not sent never will be: a new owner only resolves the intent.
-    ReplyAll(live, IsWaiting(live) ? errc::kNotOwner : errc::kOutcomeUnknown, {});
+    // The new owner may have run the key for another call of the same caller.
+    ReplyAll(live, errc::kOutcomeUnknown, {});
   }
   state fresh(number, self, options);
   fresh.documents = std::move(documents);
--- a/packages/core/src/partition_keys.cc
+++ b/packages/core/src/partition_keys.cc
@@ -187,6 +187,7 @@
     case attempt_fact::kSucceeded:
       if (answer.has_value()) return EndRequest(id.task.job, errc::kOk, std::move(*answer));
       // A report has no answer; the target gives it when the attempt is voided.
+      if (live->phase == request_phase::kUnknown) return;
       live->phase = request_phase::kUnknown;
       return VoidRequest(*live);
     case attempt_fact::kFailed:
@@ -263,15 +264,17 @@
 }
 
 void partition::state::ExpireCalls(live_request& live) {
-  const errc code = IsUnsent(live.phase) ? errc::kDeadlinePassed : errc::kOutcomeUnknown;
-  const std::size_t before = live.calls.size();
-  std::erase_if(live.calls, [&](const waiting_call& call) {
-    if (call.deadline > now) return false;
-    ReplyError(call.call, code);
-    return true;
-  });
-  // The last caller is gone and the run was not sent: it never will be.
-  if (before > 0 && live.calls.empty() && IsUnsent(live.phase)) DropRequest(live.id.task.job);
+  const auto expired = [&](const waiting_call& call) { return call.deadline <= now; };
+  const auto count = std::count_if(live.calls.begin(), live.calls.end(), expired);
+  if (count == 0) return;
+  const bool last = static_cast<std::size_t>(count) == live.calls.size();
+  // "Not run" is true only if the run was not sent and no other caller of the key waits for it.
+  const errc code = last && IsUnsent(live.phase) ? errc::kDeadlinePassed : errc::kOutcomeUnknown;
+  for (const waiting_call& call : live.calls) {
+    if (expired(call)) ReplyError(call.call, code);
+  }
+  std::erase_if(live.calls, expired);
+  if (last && IsUnsent(live.phase)) DropRequest(live.id.task.job);
 }
 
 // The reply does not wait for request_finished: the intent is durable, so if the record is lost a
