Acknowledge ended attempts, route answers of voided requests

Cause: hosts repeat an ended task until it is acknowledged, but the partition said nothing about closed attempts, so reports would have repeated every second for ever. Now a report on a closed attempt is answered by stop_attempt, which the holder turns into the acknowledgement.

--- a/packages/core/include/sycamorehinge/core/partition.h
+++ b/packages/core/include/sycamorehinge/core/partition.h
@@ -105,8 +105,6 @@
   std::uint64_t term = 0;
   process_id holder;
   attempt_fact fact = attempt_fact::kUnreachable;
-  // Stored answer of a keyed request, if the host gave one.
-  std::string answer;
 };
 // The holder's claim lapsed with the host unreachable, and all task leases on it after that.
 struct attempt_lost {
--- a/packages/core/src/partition_attempts.cc
+++ b/packages/core/src/partition_attempts.cc
@@ -99,13 +99,10 @@
 void partition::state::On(const attempt_reported& event) {
   if (!owner) return;
   if (FindRequest(event.id) != nullptr) return OnRequestFact(event.id, event.fact, std::nullopt);
-  if (ledger.FindKeyOf(event.id.task.job) != nullptr) return;
+  if (ledger.FindKeyOf(event.id.task.job) != nullptr) return Acknowledge(event);
   job_row* job = ledger.FindOpen(event.id);
   const auto live = attempts.find(event.id);
-  if (job == nullptr || live == attempts.end()) {
-    if (event.fact == attempt_fact::kRunning) StopOrphan(event);
-    return;
-  }
+  if (job == nullptr || live == attempts.end()) return Acknowledge(event);
   if (!event.host.empty() && event.host != job->status.tasks[event.id.task.index].host) {
     if (event.fact == attempt_fact::kRunning) StopOrphan(event);
     return;
@@ -163,6 +160,12 @@
   SetResolve(live, id, Backoff(RetryRule(job.status.spec.environment), live.resolves, id));
 }
 
+// The attempt is closed: a host that still runs it stops it, and one that reports its end need not
+// repeat the report.
+void partition::state::Acknowledge(const attempt_reported& event) {
+  if (event.fact != attempt_fact::kUnreachable) StopOrphan(event);
+}
+
 void partition::state::StopOrphan(const attempt_reported& event) {
   // An attempt of an unknown job may be a newer owner's. The keepalive is durable only if this
   // process still is the owner, so a replaced owner stops nothing.
--- a/packages/core/src/partition_state.h
+++ b/packages/core/src/partition_state.h
@@ -183,6 +183,7 @@
   void KeepDeferred(const attempt_id& id, std::uint64_t sequence);
   void OnRunning(job_row& job, live_attempt& live, const attempt_reported& event);
   void OnUnreachable(const job_row& job, live_attempt& live, const attempt_id& id);
+  void Acknowledge(const attempt_reported& event);
   void StopOrphan(const attempt_reported& event);
   void CloseAttempt(job_row& job, const attempt_id& id, finish_kind outcome);
   // Ends an attempt that was not started at once, without AfterClose; asks the host otherwise.
--- a/packages/entry/src/access.cc
+++ b/packages/entry/src/access.cc
@@ -36,8 +36,7 @@
 }
 
 errc access_tokens::Check(std::string_view authorization, access_right needed) const {
-  const std::vector<std::string>& list =
-      needed == access_right::kOperator ? operators_ : callers_;
+  const std::vector<std::string>& list = needed == access_right::kOperator ? operators_ : callers_;
   if (list.empty()) return errc::kOk;
   if (!authorization.starts_with(kScheme)) return errc::kUnauthorized;
   const std::string_view token = authorization.substr(kScheme.size());
--- a/packages/entry/src/api.h
+++ b/packages/entry/src/api.h
@@ -17,8 +17,8 @@
   using reply_function = http_server::reply_function;
 
   // `metrics` renders the text of /v1/metrics; `drain` begins a graceful stop.
-  api(entry_node& node, process_id self, access_tokens tokens,
-      std::function<std::string()> metrics, std::function<void()> drain);
+  api(entry_node& node, process_id self, access_tokens tokens, std::function<std::string()> metrics,
+      std::function<void()> drain);
 
   void Handle(const http_request& request, reply_function reply);
 
--- a/packages/entry/src/entry_process.cc
+++ b/packages/entry/src/entry_process.cc
@@ -29,10 +29,10 @@
       api_(std::make_unique<api>(
           *node_, settings_.process.name, std::move(tokens), [this] { return Metrics(); },
           [this] { Drain(); })),
-      server_(std::make_unique<http_server>(
-          HttpOptions(settings_), [this](const http_request& request, auto reply) {
-            api_->Handle(request, std::move(reply));
-          })) {}
+      server_(std::make_unique<http_server>(HttpOptions(settings_),
+                                            [this](const http_request& request, auto reply) {
+                                              api_->Handle(request, std::move(reply));
+                                            })) {}
 
 entry_process::~entry_process() {
   server_->Stop();
@@ -61,8 +61,7 @@
   out.call_host = [this](const listed_host& host, host_call call, completion<host_answer> done) {
     hosts_.Call(host, std::move(call), std::move(done));
   };
-  out.append = [this](std::string_view stream, std::string bytes,
-                      completion<std::uint64_t> done) {
+  out.append = [this](std::string_view stream, std::string bytes, completion<std::uint64_t> done) {
     log_.Append(stream, std::move(bytes), std::move(done));
   };
   out.read = [this](std::string_view stream, std::uint64_t from, std::uint32_t max,
--- a/packages/entry/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -1,8 +1,7 @@
 // sycamorehinged: the entry process between callers and back ends.
-#include <csignal>
-
 #include <CLI/CLI.hpp>
 #include <atomic>
+#include <csignal>
 #include <iostream>
 
 #include "entry_process.h"
--- a/packages/entry/src/wiring.cc
+++ b/packages/entry/src/wiring.cc
@@ -94,8 +94,7 @@
     if (colon == std::string::npos) return {errc::kMalformed, peer.name.value};
     peer_address address{peer.name, peer.region, peer.address.substr(0, colon), 0};
     const std::string_view port = std::string_view(peer.address).substr(colon + 1);
-    const auto [end, error] =
-        std::from_chars(port.data(), port.data() + port.size(), address.port);
+    const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), address.port);
     if (error != std::errc() || end != port.data() + port.size()) {
       return {errc::kMalformed, peer.name.value};
     }
--- a/packages/node/src/host_claims.cc
+++ b/packages/node/src/host_claims.cc
@@ -240,8 +240,13 @@
   for (const host_task& task : granted.tasks) {
     const auto found = entry.tasks.find(task.work.id);
     if (found == entry.tasks.end()) {
-      if (task.state == host_task_state::kRunning) continue;
-      // Ended and already told to its owner: stop the host from repeating it.
+      if (task.state == host_task_state::kRunning) {
+        // A start that was given up here took effect late: its owner has it stopped.
+        out.push_back([this, host = entry.row.host, id = task.work.id, term = entry.term] {
+          Report(id, host, term, attempt_fact::kRunning);
+        });
+        continue;
+      }
       if (IsRequest(task.work.id)) {
         entry.ack.push_back(task.work.id);
       } else {
@@ -277,13 +282,10 @@
     entry.ack.push_back(task.work.id);
     return;
   }
-  // A task that was stopped or whose lease lapsed did not fail by itself: it is lost.
+  // A task that was stopped or whose lease lapsed did not fail by itself: the host no longer has
+  // it.
   if (state == host_task_state::kLapsed || state == host_task_state::kStopped) {
     task.fact = attempt_fact::kNever;
-    out.push_back([this, id = task.work.id, term = entry.term] {
-      SendToOwner(id, task_lost{id, term}, attempt_lost{id, term});
-    });
-    return;
   }
   task.reported = parts_.Now();
   out.push_back([this, host = entry.row.host, id = task.work.id, term = entry.term,
@@ -296,15 +298,9 @@
     const duration every = task.kept && !task.ended ? kReportRunning : kReportAgain;
     if (now < task.reported + every) continue;
     task.reported = now;
-    const bool lost = task.ended && task.fact == attempt_fact::kNever;
-    out.push_back(
-        [this, host = entry.row.host, id = id, term = entry.term, fact = task.fact, lost] {
-          if (lost) {
-            SendToOwner(id, task_lost{id, term}, attempt_lost{id, term});
-          } else {
-            Report(id, host, term, fact);
-          }
-        });
+    out.push_back([this, host = entry.row.host, id = id, term = entry.term, fact = task.fact] {
+      Report(id, host, term, fact);
+    });
   }
 }
 
--- a/packages/node/src/host_tasks.cc
+++ b/packages/node/src/host_tasks.cc
@@ -173,12 +173,10 @@
   std::uint64_t term = 0;
   OnEntry(host, [&](claim_entry& entry, std::vector<notice>&) {
     const auto found = entry.tasks.find(id);
-    if (found != entry.tasks.end() && found->second.ended) {
-      entry.ack.push_back(id);
-      entry.tasks.erase(found);
-      return;
-    }
-    if (!entry.held) return;
+    const bool ended = found != entry.tasks.end() && found->second.ended;
+    if (ended || found == entry.tasks.end()) entry.ack.push_back(id);
+    if (ended) entry.tasks.erase(found);
+    if (ended || !entry.held) return;
     row = entry.row;
     term = entry.term;
   });
@@ -187,7 +185,7 @@
                         [this, host, id, term](const result<host_answer>& answer) {
                           if (!answer && FactOf(answer) == attempt_fact::kUnreachable) return;
                           Forget(host, id, finish_kind::kCancelled);
-                          SendToOwner(id, task_lost{id, term}, attempt_lost{id, term});
+                          Report(id, host, term, attempt_fact::kNever);
                         });
 }
 
@@ -254,7 +252,7 @@
 void host_claims::Report(const attempt_id& id, const host_id& host, std::uint64_t term,
                          attempt_fact fact) {
   SendToOwner(id, task_report{id, host, term, fact, {}},
-              attempt_reported{id, host, term, parts_.options.self, fact, {}});
+              attempt_reported{id, host, term, parts_.options.self, fact});
 }
 
 void host_claims::SendToOwner(const attempt_id& id, const peer_message& message,
--- a/packages/node/src/partition_delivery.cc
+++ b/packages/node/src/partition_delivery.cc
@@ -31,8 +31,8 @@
             if (e.holder == self) {
               p.claims.Start(e.id, e.place, e.spec);
             } else if (!p.peers.Send(e.holder, start_task{e.id, e.place, e.spec})) {
-              Handle(attempt_reported{
-                  e.id, e.place.host, e.place.term, e.holder, attempt_fact::kUnreachable, {}});
+              Handle(attempt_reported{e.id, e.place.host, e.place.term, e.holder,
+                                      attempt_fact::kUnreachable});
             }
           },
           [&](stop_attempt& e) {
--- a/packages/node/src/partition_set.cc
+++ b/packages/node/src/partition_set.cc
@@ -236,7 +236,7 @@
     parts_.claims.VoidTask(effect.host, effect.id);
   } else if (!parts_.peers.Send(holder, void_task{effect.id, effect.host})) {
     Handle(effect.id.task.job.partition,
-           attempt_reported{effect.id, effect.host, 0, holder, attempt_fact::kUnreachable, {}});
+           attempt_reported{effect.id, effect.host, 0, holder, attempt_fact::kUnreachable});
   }
 }
 
@@ -244,7 +244,7 @@
                                  attempt_fact fact, const std::string& answer) {
   const partition_number partition = id.task.job.partition;
   if (IsOwner(partition)) {
-    Handle(partition, attempt_reported{id, host, term, parts_.options.self, fact, answer});
+    Reported({id, host, term, fact, answer}, parts_.options.self);
     return;
   }
   const process_id owner = parts_.alive.KnownOwner(partition);
@@ -252,6 +252,18 @@
   parts_.peers.Send(owner, task_report{id, host, term, fact, answer});
 }
 
+void partition_set::Reported(const task_report& report, const process_id& from) {
+  const partition_number partition = report.id.task.job.partition;
+  const auto row = parts_.claims.Find(report.host);
+  const bool ended =
+      report.fact != attempt_fact::kRunning && report.fact != attempt_fact::kUnreachable;
+  const bool settled = !report.answer.empty() || report.fact != attempt_fact::kSucceeded;
+  if (row && row->kind == host_kind::kTarget && ended && settled) {
+    Handle(partition, request_answered{report.id, report.fact, report.answer});
+  }
+  Handle(partition, attempt_reported{report.id, report.host, report.term, from, report.fact});
+}
+
 void partition_set::Run(const run_request& effect) {
   const partition_number partition = effect.id.task.job.partition;
   const auto call = parts_.keyed_calls.Find(effect.call);
--- a/packages/node/src/partition_set.h
+++ b/packages/node/src/partition_set.h
@@ -54,6 +54,9 @@
   void ReportVoided(const attempt_id& id, const host_id& host, std::uint64_t term,
                     attempt_fact fact, const std::string& answer);
 
+  // A holder reports an attempt; of a request on a target, the answer comes with it.
+  void Reported(const task_report& report, const process_id& from);
+
   // When the next append may be sent, within the budget of appends.
   time_point NextAppendTime();
 
--- a/packages/node/src/peer_link.cc
+++ b/packages/node/src/peer_link.cc
@@ -86,10 +86,7 @@
           [&](const stop_task& m) { p.claims.StopTask(m.host, m.id, m.checkpoint); },
           [&](const void_task& m) { p.claims.VoidTask(m.host, m.id); },
           [&](const keep_task& m) { p.claims.Keep(m.host, m.id, m.term); },
-          [&](const task_report& m) {
-            p.partitions.Handle(m.id.task.job.partition,
-                                attempt_reported{m.id, m.host, m.term, from, m.fact, m.answer});
-          },
+          [&](const task_report& m) { p.partitions.Reported(m, from); },
           [&](const task_lost& m) {
             p.partitions.Handle(m.id.task.job.partition, attempt_lost{m.id, m.term});
           },
