--- /dev/null
+++ b/packages/net/tests/timer_test.cc
@@ -0,0 +1,97 @@
+#include <sys/resource.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <future>
+#include <mutex>
+#include <vector>
+
+#include "sycamorehinge/net/runtime_clock.h"
+
+namespace sycamorehinge {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Guards against timers that run early, late or in the wrong order on a paused clock.
+TEST_CASE("Timers on a manual clock run in order of time once it is advanced") {
+  manual_clock clock;
+  timer_queue timers(clock);
+  std::mutex mutex;
+  std::vector<int> ran;
+  std::promise<void> last;
+  const auto note = [&](int number) {
+    return [&, number] {
+      const std::lock_guard lock(mutex);
+      ran.push_back(number);
+    };
+  };
+  const time_point start = clock.Now();
+  timers.At(start + 30s, note(3));
+  timers.At(start + 10s, note(1));
+  timers.At(start + 10s, note(2));
+  const auto cancelled = timers.At(start + 20s, note(9));
+  timers.At(start + 50s, [&] { last.set_value(); });
+  CHECK(timers.Cancel(cancelled));
+  CHECK_FALSE(timers.Cancel(cancelled));
+  std::promise<void> first;
+  timers.At(start + 10s, [&] { first.set_value(); });
+  clock.Advance(10s);
+  REQUIRE(first.get_future().wait_for(5s) == std::future_status::ready);
+  {
+    const std::lock_guard lock(mutex);
+    CHECK(ran == std::vector<int>{1, 2});
+  }
+  clock.Advance(40s);
+  REQUIRE(last.get_future().wait_for(5s) == std::future_status::ready);
+  CHECK(ran == std::vector<int>{1, 2, 3});
+  CHECK(clock.WallMilliseconds() == 1'800'000'050'000);
+}
+
+// Guards against lost wakeups when the time moves while the thread goes to sleep.
+TEST_CASE("No advance of the manual clock is lost") {
+  manual_clock clock;
+  timer_queue timers(clock);
+  for (int round = 0; round < 2000; ++round) {
+    std::promise<void> ran;
+    timers.At(clock.Now() + 1ms, [&] { ran.set_value(); });
+    clock.Advance(1ms);
+    REQUIRE(ran.get_future().wait_for(5s) == std::future_status::ready);
+  }
+}
+
+// Guards against a timer thread that spins, and against late timers on the system clock.
+TEST_CASE("System timers run on time without using the processor") {
+  const runtime_clock clock = system_clock{};
+  timer_queue timers(clock);
+  rusage before{};
+  getrusage(RUSAGE_SELF, &before);
+  std::promise<time_point> ran;
+  const time_point due = Now(clock) + 300ms;
+  timers.At(due, [&] { ran.set_value(Now(clock)); });
+  timers.After(10ms, [] {});
+  const time_point when = ran.get_future().get();
+  rusage after{};
+  getrusage(RUSAGE_SELF, &after);
+  CHECK(when >= due);
+  CHECK(when < due + 200ms);
+  const auto used = [](const rusage& usage) {
+    return usage.ru_utime.tv_sec * 1'000'000 + usage.ru_utime.tv_usec;
+  };
+  CHECK(used(after) - used(before) < 100'000);
+}
+
+// Guards against functions that run after the queue is gone.
+TEST_CASE("The destructor drops pending timers") {
+  std::atomic<int> ran = 0;
+  manual_clock clock;
+  {
+    timer_queue timers(clock);
+    timers.At(clock.Now() + 1s, [&] { ++ran; });
+  }
+  clock.Advance(2s);
+  CHECK(ran == 0);
+}
+
+}  // namespace
+}  // namespace sycamorehinge
