--- /dev/null
+++ b/packages/ctl/tests/command_test.cc
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
