Wait for a partition that is between two owners instead of refusing

Change: a call that is certain not to have run yet is routed again every 100 ms, up to its deadline. Ruled out: queueing at the old owner, which may be dead.

--- a/packages/node/src/partition_set.cc
+++ b/packages/node/src/partition_set.cc
@@ -8,6 +8,12 @@
 
 namespace {
 
+// Time that a call waits for a partition that is between two owners: a takeover is done in 3 s.
+constexpr duration kOwnerWait = std::chrono::seconds(5);
+constexpr duration kOwnerRetry = std::chrono::milliseconds(100);
+// Longest wait that the HTTP interface grants to a status call.
+constexpr duration kLongestJobWait = std::chrono::seconds(25);
+
 job_answer Refusal(errc code, std::string detail = {}, duration retry_after = {}) {
   job_answer answer;
   answer.code = code;
@@ -16,6 +22,10 @@
   return answer;
 }
 
+bool HasEnded(const job_status& status) {
+  return status.state != job_state::kQueued && status.state != job_state::kRunning;
+}
+
 }  // namespace
 
 partition_set::partition_set(entry_node::parts& parts) : parts_(parts) {
@@ -101,25 +111,58 @@
   return next_append_;
 }
 
+// Runs the call here or at the partition's owner. While the partition is between two owners, and
+// nothing was done yet, the call waits up to kOwnerWait.
 template <class Question>
-void partition_set::Forward(partition_number partition, bool may_forward, Question question,
-                            duration wait, job_function reply) {
+void partition_set::Route(partition_number partition, bool may_forward, Question question,
+                          time_point give_up, job_function reply) {
+  if (IsOwner(partition)) {
+    RunHere(question, std::move(reply));
+    return;
+  }
   const process_id owner = parts_.alive.KnownOwner(partition);
-  if (!may_forward || owner.empty() || owner == parts_.options.self) {
+  if (may_forward && !owner.empty() && owner != parts_.options.self) {
+    SendTo(owner, partition, std::move(question), give_up, std::move(reply));
+    return;
+  }
+  if (!may_forward || parts_.Now() >= give_up) {
     reply(Refusal(errc::kHomeUnreachable));
     return;
   }
-  const time_point deadline = parts_.Now() + wait + parts_.options.call_timeout;
-  parts_.peers.Call(owner, std::move(question), deadline,
-                    [reply = std::move(reply)](errc code, const peer_message* message) {
-                      if (message != nullptr) {
-                        reply(std::get<job_answer>(*message));
-                      } else if (code == errc::kConnectionFailed) {
-                        reply(Refusal(errc::kHomeUnreachable));
-                      } else {
-                        reply(Refusal(errc::kOutcomeUnknown, "ask again with the same key"));
-                      }
-                    });
+  RouteLater(partition, std::move(question), give_up, std::move(reply));
+}
+
+template <class Question>
+void partition_set::RouteLater(partition_number partition, Question question, time_point give_up,
+                               job_function reply) {
+  parts_.At(parts_.Now() + kOwnerRetry,
+            [this, partition, question = std::move(question), give_up, reply = std::move(reply)] {
+              Route(partition, true, question, give_up, reply);
+            });
+}
+
+template <class Question>
+void partition_set::SendTo(const process_id& owner, partition_number partition, Question question,
+                           time_point give_up, job_function reply) {
+  const time_point deadline = parts_.Now() + parts_.options.call_timeout + kLongestJobWait;
+  parts_.peers.Call(
+      owner, question, deadline,
+      [this, partition, question, give_up, reply = std::move(reply)](errc code,
+                                                                     const peer_message* message) {
+        const auto* answer = message == nullptr ? nullptr : std::get_if<job_answer>(message);
+        const bool moved = answer == nullptr ? code == errc::kConnectionFailed
+                                             : answer->code == errc::kHomeUnreachable ||
+                                                   answer->code == errc::kNotOwner;
+        if (moved && parts_.Now() < give_up) {
+          RouteLater(partition, question, give_up, reply);
+        } else if (answer != nullptr) {
+          reply(*answer);
+        } else if (code == errc::kConnectionFailed) {
+          reply(Refusal(errc::kHomeUnreachable));
+        } else {
+          reply(Refusal(errc::kOutcomeUnknown, "ask again with the same key"));
+        }
+      });
 }
 
 void partition_set::Submit(job_spec spec, bool may_forward, job_function reply) {
@@ -134,58 +177,68 @@
     reply(Refusal(errc::kUnknownClass));
     return;
   }
-  const partition_number partition = PartitionOfKey(
-      spec.tenant, spec.key, tenant->home, parts_.options.regions, parts_.options.partitions);
-  if (!IsOwner(partition)) {
-    Forward(partition, may_forward, forward_submit{0, std::move(spec)}, {}, std::move(reply));
-    return;
-  }
+  const partition_number partition = PartitionOfSpec(spec);
+  Route(partition, may_forward, forward_submit{0, std::move(spec)}, parts_.Now() + kOwnerWait,
+        std::move(reply));
+}
+
+void partition_set::Cancel(const job_id& job, bool may_forward, job_function reply) {
+  Route(job.partition, may_forward, forward_cancel{0, job}, parts_.Now() + kOwnerWait,
+        std::move(reply));
+}
+
+void partition_set::Status(const job_id& job, duration wait, bool may_forward, job_function reply) {
+  Route(job.partition, may_forward, forward_status{0, job, wait}, parts_.Now() + kOwnerWait,
+        std::move(reply));
+}
+
+partition_number partition_set::PartitionOfSpec(const job_spec& spec) const {
+  const auto document = parts_.documents.Find(spec.environment);
+  const tenant_rule* tenant =
+      document == nullptr ? nullptr : document->FindTenant(spec.tenant.value);
+  const region_id home = tenant == nullptr ? region_id{} : tenant->home;
+  return PartitionOfKey(spec.tenant, spec.key, home, parts_.options.regions,
+                        parts_.options.partitions);
+}
+
+void partition_set::RunHere(const forward_submit& question, job_function reply) {
   if (parts_.draining) {
     reply(Refusal(errc::kDraining));
     return;
   }
+  const partition_number partition = PartitionOfSpec(question.spec);
   const std::uint64_t call =
       parts_.job_calls.Add(std::move(reply), parts_.Now() + parts_.options.call_timeout);
-  Handle(partition, submit_requested{call, std::move(spec), parts_.port.wall_ms()});
+  Handle(partition, submit_requested{call, question.spec, parts_.port.wall_ms()});
 }
 
-void partition_set::Cancel(const job_id& job, bool may_forward, job_function reply) {
-  if (!IsOwner(job.partition)) {
-    Forward(job.partition, may_forward, forward_cancel{0, job}, {}, std::move(reply));
-    return;
-  }
+void partition_set::RunHere(const forward_cancel& question, job_function reply) {
   const std::uint64_t call =
       parts_.job_calls.Add(std::move(reply), parts_.Now() + parts_.options.call_timeout);
-  Handle(job.partition, cancel_requested{call, job});
+  Handle(question.job.partition, cancel_requested{call, question.job});
 }
 
-void partition_set::Status(const job_id& job, duration wait, bool may_forward, job_function reply) {
-  if (!IsOwner(job.partition)) {
-    Forward(job.partition, may_forward, forward_status{0, job, wait}, wait, std::move(reply));
-    return;
-  }
-  job_answer answer;
-  const auto status = FindJob(job);
+void partition_set::RunHere(const forward_status& question, job_function reply) {
+  const auto status = FindJob(question.job);
   if (!status) {
     reply(Refusal(errc::kUnknownJob));
     return;
   }
-  answer.status = *status;
-  const bool running = status->state == job_state::kQueued || status->state == job_state::kRunning;
-  if (!running || wait <= duration{}) {
+  if (HasEnded(*status) || question.wait <= duration{}) {
+    job_answer answer;
+    answer.status = *status;
     reply(answer);
     return;
   }
-  const std::uint64_t call = waiters_.Add({job, std::move(reply)}, parts_.Now() + wait);
+  const std::uint64_t call =
+      waiters_.Add({question.job, std::move(reply)}, parts_.Now() + question.wait);
   {
     const std::lock_guard lock(mutex_);
-    waiting_.emplace(job, call);
+    waiting_.emplace(question.job, call);
   }
   // The job may have ended between the look and the registration.
-  const auto again = FindJob(job);
-  if (again && again->state != job_state::kQueued && again->state != job_state::kRunning) {
-    JobEnded(job);
-  }
+  const auto again = FindJob(question.job);
+  if (again && HasEnded(*again)) JobEnded(question.job);
 }
 
 void partition_set::JobEnded(const job_id& job) {
@@ -284,8 +337,8 @@
                     [this, id = effect.id, partition](errc code, const peer_message* message) {
                       execute_outcome outcome{code, attempt_fact::kUnreachable, {}};
                       if (message != nullptr) {
-                        const auto& answer = std::get<request_answer>(*message);
-                        outcome = {answer.code, answer.fact, answer.body};
+                        const auto* answer = std::get_if<request_answer>(message);
+                        if (answer != nullptr) outcome = {answer->code, answer->fact, answer->body};
                       } else if (code == errc::kConnectionFailed) {
                         outcome.fact = attempt_fact::kNever;
                       }
--- a/packages/node/src/partition_set.h
+++ b/packages/node/src/partition_set.h
@@ -62,10 +62,19 @@
 
  private:
   partition_runner* Find(partition_number partition) const;
-  // Answers with an error, or sends `question` to the owner elsewhere.
+  partition_number PartitionOfSpec(const job_spec& spec) const;
   template <class Question>
-  void Forward(partition_number partition, bool may_forward, Question question, duration wait,
-               job_function reply);
+  void Route(partition_number partition, bool may_forward, Question question, time_point give_up,
+             job_function reply);
+  template <class Question>
+  void RouteLater(partition_number partition, Question question, time_point give_up,
+                  job_function reply);
+  template <class Question>
+  void SendTo(const process_id& owner, partition_number partition, Question question,
+              time_point give_up, job_function reply);
+  void RunHere(const forward_submit& question, job_function reply);
+  void RunHere(const forward_cancel& question, job_function reply);
+  void RunHere(const forward_status& question, job_function reply);
   void OnExecuted(const attempt_id& id, partition_number partition, const execute_outcome& outcome);
 
   struct waiter {
--- a/packages/node/src/request_runner.cc
+++ b/packages/node/src/request_runner.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Interval at which a request looks again for the owner of its partition.
+constexpr duration kOwnerRetry = std::chrono::milliseconds(100);
+
 request_answer Refusal(errc code, std::string detail = {}, duration retry_after = {}) {
   request_answer answer;
   answer.code = code;
@@ -54,48 +57,77 @@
   if (request.idempotent) {
     RunUnkeyed(std::move(request), std::move(counted), may_forward);
   } else {
-    RunKeyed(std::move(request), std::move(counted), may_forward);
+    const time_point deadline = parts_.Now() + request.time_left;
+    RunKeyed(std::move(request), std::move(counted), may_forward, deadline);
   }
 }
 
-void request_runner::RunKeyed(caller_request request, answer_function reply, bool may_forward) {
+void request_runner::RunKeyed(caller_request request, answer_function reply, bool may_forward,
+                              time_point deadline) {
   const auto document = parts_.documents.Find(request.environment);
-  const tenant_rule* tenant = document->FindTenant(request.tenant.value);
+  const tenant_rule* tenant =
+      document == nullptr ? nullptr : document->FindTenant(request.tenant.value);
+  if (tenant == nullptr) {
+    reply(Refusal(errc::kUnknownTenant));
+    return;
+  }
   const partition_number partition = PartitionOfKey(
       request.tenant, request.key, tenant->home, parts_.options.regions, parts_.options.partitions);
   if (parts_.partitions.IsOwner(partition)) {
-    const time_point now = parts_.Now();
-    keyed_request keyed{request.environment,    request.tenant, request.work_class,
-                        request.service,        request.key,    StableHash(request.body),
-                        now + request.time_left};
-    const time_point give_up = now + request.time_left;
-    const std::uint64_t call =
-        parts_.keyed_calls.Add({std::move(request), std::move(reply)}, give_up);
-    parts_.partitions.Handle(partition,
-                             keyed_request_arrived{call, std::move(keyed), parts_.port.wall_ms()});
+    RunKeyedHere(partition, std::move(request), std::move(reply), deadline);
     return;
   }
   const process_id owner = parts_.alive.KnownOwner(partition);
-  if (!may_forward || owner.empty() || owner == parts_.options.self) {
+  if (may_forward && !owner.empty() && owner != parts_.options.self) {
+    SendKeyed(owner, request, std::move(reply), deadline);
+    return;
+  }
+  const time_point now = parts_.Now();
+  if (!may_forward || now + kOwnerRetry >= deadline) {
     reply(Refusal(errc::kHomeUnreachable));
     return;
   }
-  SendKeyed(owner, std::move(request), std::move(reply));
+  // The partition is between two owners.
+  parts_.At(now + kOwnerRetry, [this, request = std::move(request), reply = std::move(reply),
+                                deadline] { RunKeyed(request, reply, true, deadline); });
 }
 
-void request_runner::SendKeyed(const process_id& owner, caller_request request,
-                               answer_function reply) {
-  const time_point deadline = parts_.Now() + request.time_left;
-  parts_.peers.Call(owner, forward_request{0, std::move(request)}, deadline,
-                    [reply = std::move(reply)](errc code, const peer_message* message) {
-                      if (message != nullptr) {
-                        reply(std::get<request_answer>(*message));
-                      } else if (code == errc::kConnectionFailed) {
-                        reply(Refusal(errc::kHomeUnreachable));
-                      } else {
-                        reply(Refusal(errc::kOutcomeUnknown, "ask again with the same key"));
-                      }
-                    });
+void request_runner::RunKeyedHere(partition_number partition, caller_request request,
+                                  answer_function reply, time_point deadline) {
+  keyed_request keyed{
+      request.environment,      request.tenant, request.work_class, request.service, request.key,
+      StableHash(request.body), deadline};
+  request.time_left = deadline - parts_.Now();
+  const std::uint64_t call =
+      parts_.keyed_calls.Add({std::move(request), std::move(reply)}, deadline);
+  parts_.partitions.Handle(partition,
+                           keyed_request_arrived{call, std::move(keyed), parts_.port.wall_ms()});
+}
+
+void request_runner::SendKeyed(const process_id& owner, const caller_request& request,
+                               answer_function reply, time_point deadline) {
+  caller_request copy = request;
+  copy.time_left = deadline - parts_.Now();
+  parts_.peers.Call(
+      owner, forward_request{0, std::move(copy)}, deadline,
+      [this, request, reply = std::move(reply), deadline](errc code, const peer_message* message) {
+        const auto* answer = message == nullptr ? nullptr : std::get_if<request_answer>(message);
+        const bool moved = answer == nullptr ? code == errc::kConnectionFailed
+                                             : answer->code == errc::kHomeUnreachable ||
+                                                   answer->code == errc::kNotOwner;
+        const time_point again = parts_.Now() + kOwnerRetry;
+        if (moved && again < deadline) {
+          // Nothing was sent or nothing ran there: the partition has moved.
+          parts_.At(again,
+                    [this, request, reply, deadline] { RunKeyed(request, reply, true, deadline); });
+        } else if (answer != nullptr) {
+          reply(*answer);
+        } else if (code == errc::kConnectionFailed) {
+          reply(Refusal(errc::kHomeUnreachable));
+        } else {
+          reply(Refusal(errc::kOutcomeUnknown, "ask again with the same key"));
+        }
+      });
 }
 
 void request_runner::RunUnkeyed(caller_request request, answer_function reply, bool may_forward) {
@@ -235,8 +267,10 @@
   copy.time_left = deadline - parts_.Now();
   parts_.peers.Call(peer, forward_request{0, std::move(copy)}, deadline,
                     [this, request](errc code, const peer_message* message) {
-                      if (message != nullptr) {
-                        Finish(request, std::get<request_answer>(*message));
+                      const auto* answer =
+                          message == nullptr ? nullptr : std::get_if<request_answer>(message);
+                      if (answer != nullptr) {
+                        Finish(request, *answer);
                       } else if (code == errc::kConnectionFailed) {
                         Offer(request);
                       } else {
--- a/packages/node/src/request_runner.h
+++ b/packages/node/src/request_runner.h
@@ -48,9 +48,13 @@
 
   request_shard& Shard(std::uint64_t number) { return shards_[number % kShards]; }
   void Accept(caller_request request, answer_function reply, bool may_forward);
-  void RunKeyed(caller_request request, answer_function reply, bool may_forward);
+  void RunKeyed(caller_request request, answer_function reply, bool may_forward,
+                time_point deadline);
+  void RunKeyedHere(partition_number partition, caller_request request, answer_function reply,
+                    time_point deadline);
   void RunUnkeyed(caller_request request, answer_function reply, bool may_forward);
-  void SendKeyed(const process_id& owner, caller_request request, answer_function reply);
+  void SendKeyed(const process_id& owner, const caller_request& request, answer_function reply,
+                 time_point deadline);
   void Offer(std::uint64_t number);
   void Finish(std::uint64_t number, const request_answer& answer);
   void OnExecuted(std::uint64_t number, const host_id& host, const execute_outcome& outcome);
