--- /dev/null
+++ b/packages/core/bench/measure_overload.cc
@@ -0,0 +1,205 @@
+// Waits, shares and useful work while one class offers ten times its work.
+#include <algorithm>
+
+#include "measure.h"
+
+namespace sycamorehinge {
+
+namespace {
+
+constexpr std::uint32_t kWorkers = 50;
+constexpr double kCores = 30.0 * kWorkers;
+constexpr duration kWarmUp = std::chrono::seconds(5);
+
+struct class_load {
+  std::string_view name;
+  double share = 0;
+  // Offered load as a share of all cores.
+  double load = 0;
+  double mean_run_s = 1;
+  std::int64_t max_cores = 4;
+  bool preemptible = false;
+};
+
+environment_document RulesOf(std::span<const class_load> loads) {
+  environment_document document;
+  std::int32_t urgency = 100;
+  for (const class_load& load : loads) {
+    class_rule rule;
+    rule.name = {std::string(load.name)};
+    rule.share = load.share;
+    rule.urgency = urgency--;
+    rule.max_wait = std::chrono::seconds(5);
+    document.classes.push_back(rule);
+  }
+  return document;
+}
+
+// Offers each class its load with exponential gaps and sizes of 1 to max_cores.
+class loaded_pool {
+ public:
+  loaded_pool(const pool_options& options, std::span<const class_load> loads, std::uint64_t seed)
+      : simulated(options), loads_(loads.begin(), loads.end()), random_(seed) {
+    simulated.SetRules(RulesOf(loads));
+    simulated.ClaimHosts(kWorkers, kLargeWorker, 0, 0);
+    for (std::size_t c = 0; c < loads_.size(); ++c) next_.push_back(time_point(Gap(c)));
+  }
+
+  void RunUntil(time_point end) {
+    while (true) {
+      const auto first = std::min_element(next_.begin(), next_.end());
+      if (*first > end) break;
+      simulated.RunUntil(*first);
+      const auto c = static_cast<std::size_t>(first - next_.begin());
+      Offer(loads_[c]);
+      *first += Gap(c);
+    }
+    simulated.RunUntil(end);
+  }
+
+  simulated_pool simulated;
+
+ private:
+  duration Gap(std::size_t c) {
+    const class_load& load = loads_[c];
+    const double mean_cores = (1.0 + static_cast<double>(load.max_cores)) / 2;
+    return ExponentialGap(1e6 * mean_cores * load.mean_run_s / (load.load * kCores), random_);
+  }
+  void Offer(const class_load& load) {
+    work_item item;
+    item.id.task.job = {1, 1, ++number_};
+    item.kind = work_kind::kBatch;
+    item.work_class = {std::string(load.name)};
+    item.tenant = {"team-" + std::to_string(NextRandom(random_) % 20)};
+    const std::int64_t cores =
+        1 +
+        static_cast<std::int64_t>(NextRandom(random_) % static_cast<std::uint64_t>(load.max_cores));
+    item.size = {cores * 1000, cores * 3000, 0, 0};
+    item.preemptible = load.preemptible;
+    const duration run(
+        static_cast<std::int64_t>((0.5 + UniformDouble(random_)) * load.mean_run_s * 1e6));
+    // Declared run times are wrong by up to a factor of four.
+    item.run_time = duration(static_cast<std::int64_t>(static_cast<double>(run.count()) *
+                                                       (0.25 + 3.75 * UniformDouble(random_))));
+    simulated.Offer(item, run);
+  }
+
+  std::vector<class_load> loads_;
+  std::uint64_t random_;
+  std::vector<time_point> next_;
+  std::uint64_t number_ = 0;
+};
+
+double WaitP99Ms(simulated_class& counts) {
+  std::vector<double> waits;
+  for (const duration wait : counts.waits) waits.push_back(static_cast<double>(wait.count()) / 1e3);
+  return Percentile(std::move(waits), 0.99);
+}
+
+// Share of all cores that a class held while counting.
+double HeldShare(const simulated_class& counts, duration counted) {
+  return counts.held / (kCores * 1000 * static_cast<double>(counted.count()));
+}
+
+std::vector<class_load> ShareLoads() {
+  return {{"urgent", 0.2, 0.2, 0.5, 2, true},
+          {"normal", 0.35, 0.35, 1, 4, true},
+          {"batch", 0.45, 0.45, 2, 4, true}};
+}
+
+struct share_result {
+  std::vector<double> held;
+  double useful = 0;
+};
+
+share_result RunShares(const pool_options& options, std::span<const class_load> loads,
+                       std::uint64_t seed, duration length) {
+  loaded_pool loaded(options, loads, seed);
+  loaded.RunUntil(time_point(kWarmUp));
+  loaded.simulated.StartCounting();
+  loaded.RunUntil(time_point(kWarmUp + length));
+  share_result result;
+  for (const class_load& load : loads) {
+    const double held = HeldShare(loaded.simulated.Class({std::string(load.name)}), length);
+    result.held.push_back(held);
+    result.useful += held;
+  }
+  return result;
+}
+
+}  // namespace
+
+void MeasureUrgentWait(const measure_options& options) {
+  const duration length = std::chrono::seconds(options.seconds);
+  for (const pool_variant& variant : PoolVariants()) {
+    for (const double factor : {1.0, 10.0}) {
+      const std::vector<class_load> loads = {{"urgent", 0.2, 0.1, 0.5, 2, false},
+                                             {"batch", 0.8, 0.6 * factor, 2, 4, true}};
+      loaded_pool loaded(variant.options, loads, options.seed);
+      loaded.RunUntil(time_point(kWarmUp));
+      loaded.simulated.StartCounting();
+      loaded.RunUntil(time_point(kWarmUp + length));
+      const std::string_view figure = factor > 1 ? "p99_overload" : "p99_normal";
+      simulated_class& urgent = loaded.simulated.Class({"urgent"});
+      Print("urgent_wait", variant.name, figure, WaitP99Ms(urgent), "ms");
+      if (factor == 1.0) continue;
+      Print("urgent_wait", variant.name, "placed_overload",
+            static_cast<double>(urgent.placed) /
+                static_cast<double>(std::max<std::uint64_t>(urgent.offered, 1)),
+            "share");
+    }
+  }
+}
+
+void MeasureShares(const measure_options& options) {
+  const duration length = std::chrono::seconds(options.seconds);
+  for (const pool_variant& variant : PoolVariants()) {
+    const std::vector<class_load> normal = ShareLoads();
+    const share_result before = RunShares(variant.options, normal, options.seed, length);
+    Print("shares", variant.name, "useful_normal", before.useful, "share");
+    for (std::size_t over = 0; over < normal.size(); ++over) {
+      std::vector<class_load> loads = normal;
+      loads[over].load *= 10;
+      const share_result after = RunShares(variant.options, loads, options.seed, length);
+      const std::string scenario = "shares.over_" + std::string(loads[over].name);
+      for (std::size_t c = 0; c < loads.size(); ++c) {
+        Print(scenario, variant.name, std::string("kept_") + std::string(loads[c].name),
+              after.held[c] / before.held[c], "ratio");
+      }
+      Print(scenario, variant.name, "useful", after.useful, "share");
+    }
+  }
+}
+
+void MeasureEjection(const measure_options& options) {
+  std::vector<pool_variant> variants = PoolVariants();
+  variants.push_back({"no_ejection", {}});
+  variants.back().options.eject_failing_hosts = false;
+  const host_id bad{"w00007"};
+  for (const pool_variant& variant : variants) {
+    const std::vector<class_load> loads = {{"batch", 1.0, 0.8, 1, 4, true}};
+    loaded_pool loaded(variant.options, loads, options.seed);
+    loaded.RunUntil(time_point(kWarmUp));
+    loaded.simulated.SetFailing(bad, true);
+    loaded.RunUntil(time_point(kWarmUp + std::chrono::seconds(10)));
+    loaded.simulated.StartCounting();
+    loaded.RunUntil(time_point(kWarmUp + std::chrono::seconds(40)));
+    const auto starts = loaded.simulated.Starts().find(bad);
+    const double bad_starts =
+        starts == loaded.simulated.Starts().end() ? 0 : static_cast<double>(starts->second);
+    Print("ejection", variant.name, "starts_on_failing",
+          bad_starts / static_cast<double>(loaded.simulated.AllStarts()), "share");
+    const time_point mended = loaded.simulated.Now();
+    loaded.simulated.SetFailing(bad, false);
+    double back_s = -1;
+    for (int step = 1; step <= 600 && back_s < 0; ++step) {
+      loaded.RunUntil(mended + std::chrono::milliseconds(100) * step);
+      for (const host_summary& host : loaded.simulated.Target().Hosts()) {
+        if (host.host == bad && !host.ejected) back_s = step * 0.1;
+      }
+    }
+    Print("ejection", variant.name, "back_after_mending", back_s, "s");
+  }
+}
+
+}  // namespace sycamorehinge
