--- a/packages/core/tests/partition_world.h
+++ b/packages/core/tests/partition_world.h
@@ -94,6 +94,7 @@
   void FinishOne(std::uint32_t choice);
   void LoseHost(test_host& host);
   void ChangeHolder(test_host& host);
+  void LoseLater(int owner, const attempt_lost& lost, time_point due);
   void Start(int owner, const start_attempt& start);
   void Run(int owner, const run_request& run);
   void Void(int owner, const void_attempt& question);
