--- a/packages/testing/include/sycamorehinge/testing/history.h
+++ b/packages/testing/include/sycamorehinge/testing/history.h
@@ -284,12 +284,13 @@
 struct document_seen {
   static constexpr std::string_view kName = "document_seen";
   std::string document;
-  std::string process;
+  // Address of the process, as in process_changed.
+  std::string entry;
   std::uint64_t version = 0;
   template <class Archive>
   void Describe(Archive& archive) {
     archive("document", document);
-    archive("process", process);
+    archive("entry", entry);
     archive("version", version);
   }
 };
--- a/packages/testing/src/check_callers.cc
+++ b/packages/testing/src/check_callers.cc
@@ -157,13 +157,11 @@
 }
 
 void CheckGraceful(const check_index& index, findings& found) {
-  std::map<std::string_view, const process_life*> by_entry;
-  for (const auto& [process, life] : index.processes) by_entry[life.entry] = &life;
   for (const auto& [request, work] : index.works) {
     for (const sending& sent : work.sendings) {
       if (sent.outcome != "cut") continue;
-      const auto life = by_entry.find(sent.entry);
-      if (life == by_entry.end() || !StoppedGracefully(*life->second, sent)) continue;
+      const auto life = index.processes.find(sent.entry);
+      if (life == index.processes.end() || !StoppedGracefully(life->second, sent)) continue;
       found.Add(sent.answered_at, request + " was cut by the graceful stop of " + sent.entry);
     }
   }
--- a/packages/testing/src/check_index.cc
+++ b/packages/testing/src/check_index.cc
@@ -63,11 +63,14 @@
 
 void check_index::Add(time_point /*at*/, const host_overfilled& /*event*/) { ++overfill_events; }
 
+void check_index::Add(time_point /*at*/, const platform_totals& event) { totals = event; }
+
 void check_index::Add(time_point at, const request_sent& event) {
   caller_work& work = works[event.request];
   work.request = event.request;
   work.idempotent = event.idempotent;
   work.key = event.key;
+  work.work_class = event.work_class;
   work.content = event.content;
   work.sendings.emplace_back();
   work.sendings.back().entry = event.entry;
@@ -80,6 +83,7 @@
   work.job = true;
   work.idempotent = event.idempotent;
   work.key = event.key;
+  work.work_class = event.work_class;
   work.content = event.content;
   work.tasks = event.tasks;
   work.sendings.emplace_back();
@@ -123,9 +127,7 @@
 }
 
 void check_index::Add(time_point at, const process_changed& event) {
-  process_life& life = processes[event.process];
-  life.entry = event.entry;
-  life.changes.emplace_back(at, event.change);
+  processes[event.entry].changes.emplace_back(at, event.change);
 }
 
 void check_index::Add(time_point at, const document_accepted& event) {
@@ -133,7 +135,7 @@
 }
 
 void check_index::Add(time_point at, const document_seen& event) {
-  versions[event.document][event.process].push_back({at, event.version});
+  versions[event.document][event.entry].push_back({at, event.version});
 }
 
 }  // namespace sycamorehinge::testing
--- a/packages/testing/src/check_index.h
+++ b/packages/testing/src/check_index.h
@@ -45,6 +45,7 @@
   bool job = false;
   bool idempotent = true;
   std::string key;
+  std::string work_class;
   std::uint64_t content = 0;
   std::uint32_t tasks = 1;
   std::vector<sending> sendings;
@@ -57,7 +58,6 @@
 };
 
 struct process_life {
-  std::string entry;
   // Times of each change, oldest first.
   std::vector<std::pair<time_point, std::string>> changes;
 };
@@ -86,12 +86,14 @@
   std::map<std::string, std::vector<std::size_t>> runs_by_task;
   std::map<std::string, std::vector<std::pair<time_point, bool>>> leaving;
   std::uint64_t overfill_events = 0;
+  platform_totals totals;
 
   std::map<std::string, caller_work> works;
   std::map<std::string, std::vector<seen_state>> jobs_seen;
 
+  // By entry address.
   std::map<std::string, process_life> processes;
-  // By document, then by process.
+  // By document, then by entry address.
   std::map<std::string, std::map<std::string, std::vector<seen_version>>> versions;
   std::vector<accepted_version> accepted_versions;
   time_point last{};
@@ -102,6 +104,7 @@
   void Add(time_point at, const attempt_started& event);
   void Add(time_point at, const attempt_ended& event);
   void Add(time_point at, const host_overfilled& event);
+  void Add(time_point at, const platform_totals& event);
   void Add(time_point at, const request_sent& event);
   void Add(time_point at, const request_answered& event);
   void Add(time_point at, const job_sent& event);
@@ -114,7 +117,6 @@
   void Add(time_point /*at*/, const claim_taken& /*event*/) {}
   void Add(time_point /*at*/, const attempt_voided& /*event*/) {}
   void Add(time_point /*at*/, const start_refused& /*event*/) {}
-  void Add(time_point /*at*/, const platform_totals& /*event*/) {}
   void Add(time_point /*at*/, const job_cancel_sent& /*event*/) {}
 
   sending* FindUnanswered(const std::string& request, const std::string& entry);
--- a/packages/testing/src/check_main.cc
+++ b/packages/testing/src/check_main.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "sycamorehinge/testing/checker.h"
+#include "sycamorehinge/testing/figures.h"
 
 namespace {
 
@@ -12,7 +13,8 @@
 using namespace sycamorehinge::testing;  // NOLINT(google-build-using-namespace)
 
 // Exit status: 0 all promises held, 1 some promise broken, 2 unreadable history.
-int CheckFiles(const std::vector<std::string>& files, const check_options& options) {
+int CheckFiles(const std::vector<std::string>& files, const check_options& options,
+               bool with_figures) {
   std::vector<history_event> events;
   for (const std::string& file : files) {
     std::string detail;
@@ -25,6 +27,7 @@
     return 2;
   }
   const check_report report = Check(events, options);
+  if (with_figures) (void)std::fputs(ToString(Measure(events)).c_str(), stdout);
   (void)std::fputs(ToString(report).c_str(), stdout);
   return report.Held() ? 0 : 1;
 }
@@ -43,8 +46,10 @@
   app.add_option("--document-within-ms", document_within_ms,
                  "time in which an accepted document must be in force everywhere");
   app.add_option("--findings", options.shown_findings, "findings shown for each promise");
+  bool with_figures = false;
+  app.add_flag("--figures", with_figures, "also print waits, packing and control traffic");
   CLI11_PARSE(app, argc, argv);
   options.leaving_grace = std::chrono::milliseconds(leaving_grace_ms);
   options.document_within = std::chrono::milliseconds(document_within_ms);
-  return CheckFiles(files, options);
+  return CheckFiles(files, options, with_figures);
 }
--- a/packages/testing/tests/checker_test.cc
+++ b/packages/testing/tests/checker_test.cc
@@ -45,7 +45,7 @@
     return Add(ms, process_changed{process, std::string("http://") + process, change});
   }
   story& Version(std::int64_t ms, const char* process, std::uint64_t version) {
-    return Add(ms, document_seen{"sutepuu/production", process, version});
+    return Add(ms, document_seen{"sutepuu/production", std::string("http://") + process, version});
   }
 
   check_report Check() const { return testing::Check(events_, {}); }
