--- a/packages/net/tests/client_test.cc
+++ b/packages/net/tests/client_test.cc
@@ -61,7 +61,7 @@
   return future.get();
 }
 
-const attempt_id kAttempt{{{3, 120, 7}, 0}, 1};
+constexpr attempt_id kAttempt{{{3, 120, 7}, 0}, 1};
 
 struct host_fixture {
   scripted_server server;
--- a/packages/net/tests/peer_test.cc
+++ b/packages/net/tests/peer_test.cc
@@ -31,7 +31,7 @@
                std::uint16_t port = 0) {
     peer_transport_options options;
     options.self = {std::move(name)};
-    options.region = {region};
+    options.region = {std::move(region)};
     options.incarnation = incarnation;
     options.key = kKey;
     options.port = port;
--- a/packages/telemetry/tests/events_test.cc
+++ b/packages/telemetry/tests/events_test.cc
@@ -131,6 +131,7 @@
   event_log log(options);
   event_log other(second.Options());
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int t = 0; t < 4; ++t) {
     threads.emplace_back([&, t] {
       for (int i = 0; i < 200; ++i) {
--- a/packages/telemetry/tests/metrics_test.cc
+++ b/packages/telemetry/tests/metrics_test.cc
@@ -68,6 +68,7 @@
 TEST_CASE("Counts and samples of several threads add up") {
   metrics all;
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int t = 0; t < 4; ++t) {
     threads.emplace_back([&] {
       for (int i = 0; i < 5000; ++i) {
