--- a/packages/entry/src/entry_process.h
+++ b/packages/entry/src/entry_process.h
@@ -17,6 +17,8 @@
 #include "sycamorehinge/net/runtime_clock.h"
 #include "sycamorehinge/node/entry_node.h"
 #include "sycamorehinge/settings/process_settings.h"
+#include "sycamorehinge/telemetry/events.h"
+#include "sycamorehinge/telemetry/metrics.h"
 
 namespace sycamorehinge {
 
@@ -34,17 +36,21 @@
   errc Start();
   // Begins a graceful stop; `stop` is called when it is done.
   void Drain();
+  event_log& Events() { return events_; }
 
  private:
   ports MakePorts();
   peer_handlers MakeHandlers();
-  node_observer MakeObserver();
+  void ReportFault(const peer_fault& fault);
   std::string Metrics() const;
 
   const process_settings settings_;
   const std::uint64_t incarnation_;
   std::function<void(errc)> stop_;
   runtime_clock clock_;
+  std::unique_ptr<std::ostream> log_file_;
+  event_log events_;
+  metrics metrics_;
   http_client http_;
   log_client log_;
   host_client hosts_;
--- a/packages/node/include/sycamorehinge/node/entry_node.h
+++ b/packages/node/include/sycamorehinge/node/entry_node.h
@@ -18,6 +18,8 @@
 #include "sycamorehinge/core/pool.h"
 #include "sycamorehinge/core/retry.h"
 #include "sycamorehinge/node/ports.h"
+#include "sycamorehinge/telemetry/events.h"
+#include "sycamorehinge/telemetry/metrics.h"
 #include "sycamorehinge/wire/messages.h"
 
 namespace sycamorehinge {
@@ -62,12 +64,10 @@
   std::function<result<environment_document>(std::string_view)> parse_document;
 };
 
-// What the process reports for logs and metrics; calls must not block.
+// Where the node reports to; both must outlive it. Null reports nothing.
 struct node_observer {
-  // One piece of work ended its wait or its run.
-  std::function<void(const tenant_id&, const class_id&, duration)> waited;
-  std::function<void(const tenant_id&, const class_id&, duration)> answered;
-  std::function<void(std::string_view event, std::string_view detail)> event;
+  event_log* events = nullptr;
+  metrics* numbers = nullptr;
 };
 
 struct proposal_answer {
--- a/packages/node/src/document_store.cc
+++ b/packages/node/src/document_store.cc
@@ -80,7 +80,9 @@
   if (!record) {
     // A record that no process can read is skipped by all of them alike.
     s.order.Merge({}, entry.offset + 1);
-    parts_.Event("config_record_malformed", ErrorName(record.code()));
+    parts_.Event(
+        event_number::kRecordMalformed,
+        {{"stream", kConfigStream}, {"offset", entry.offset}, {"error", ErrorName(record.code())}});
     return;
   }
   const config_key key{record->environment, record->stage};
@@ -107,14 +109,16 @@
   if (version == nullptr) return;
   result<environment_document> document = parts_.options.parse_document(version->text);
   if (!document) {
-    parts_.Event("document_rejected", document.detail());
+    parts_.Event(event_number::kDocumentInvalid,
+                 {{"environment", key.environment.value}, {"detail", document.detail()}});
     return;
   }
   document->name = NameInForce(key);
   auto shared = std::make_shared<const environment_document>(std::move(*document));
   s.parsed[shared->name] = shared;
   out.push_back([this, shared, number = version->version] {
-    parts_.Event("document_in_force", shared->name.value + " version " + std::to_string(number));
+    parts_.Event(event_number::kDocumentInForce,
+                 {{"environment", shared->name.value}, {"version", number}});
     parts_.pools.RulesChanged(shared);
     parts_.partitions.DocumentChanged(shared);
   });
--- a/packages/node/src/entry_node.cc
+++ b/packages/node/src/entry_node.cc
@@ -24,7 +24,7 @@
 }
 
 entry_node::entry_node(node_options options, ports port, node_observer observer)
-    : parts_(std::make_unique<parts>(std::move(options), std::move(port), std::move(observer))) {}
+    : parts_(std::make_unique<parts>(std::move(options), std::move(port), observer)) {}
 
 entry_node::~entry_node() { Stop(); }
 
--- a/packages/node/src/host_claims.cc
+++ b/packages/node/src/host_claims.cc
@@ -147,7 +147,7 @@
 void host_claims::Lapse(claim_entry& entry, std::vector<notice>& out) {
   entry.held = false;
   out.push_back([this, row = entry.row] {
-    parts_.Event("claim_lapsed", row.host.value);
+    parts_.Event(event_number::kClaimLost, {{"host", row.host.value}});
     parts_.pools.Handle(KeyOf(row), host_released{row.host});
   });
 }
@@ -276,8 +276,10 @@
   if (state == host_task_state::kStopped) outcome = finish_kind::kCancelled;
   task.fact =
       state == host_task_state::kSucceeded ? attempt_fact::kSucceeded : attempt_fact::kFailed;
-  out.push_back(
-      [this, row = entry.row, id = task.work.id, outcome] { FinishInPool(row, id, outcome); });
+  RecordRun(task);
+  out.push_back([this, row = entry.row, id = task.work.id, outcome, ran = RunTimeOf(task)] {
+    FinishInPool(row, id, outcome, ran);
+  });
   if (IsRequest(task.work.id)) {
     entry.ack.push_back(task.work.id);
     return;
--- a/packages/node/src/host_claims.h
+++ b/packages/node/src/host_claims.h
@@ -60,6 +60,7 @@
     bool kept = false;
     bool ended = false;
     attempt_fact fact = attempt_fact::kRunning;
+    time_point started{};
     time_point reported{};
   };
   struct claim_entry {
@@ -130,7 +131,11 @@
                std::function<void(attempt_fact, std::string)> handler);
   // The attempt left the host: frees its room in the pool.
   void Forget(const host_id& host, const attempt_id& id, finish_kind outcome);
-  void FinishInPool(const listed_host& row, const attempt_id& id, finish_kind outcome);
+  void FinishInPool(const listed_host& row, const attempt_id& id, finish_kind outcome,
+                    duration ran);
+  // Zero if the start is not known.
+  duration RunTimeOf(const claimed_task& task) const;
+  void RecordRun(const claimed_task& task) const;
   void Report(const attempt_id& id, const host_id& host, std::uint64_t term, attempt_fact fact);
   void SendToOwner(const attempt_id& id, const peer_message& message, const partition_event& event);
 
--- a/packages/node/src/host_tasks.cc
+++ b/packages/node/src/host_tasks.cc
@@ -239,14 +239,34 @@
 
 void host_claims::Forget(const host_id& host, const attempt_id& id, finish_kind outcome) {
   std::optional<listed_host> row;
+  claimed_task task;
   OnEntry(host, [&](claim_entry& entry, std::vector<notice>&) {
-    if (entry.tasks.erase(id) > 0) row = entry.row;
+    const auto found = entry.tasks.find(id);
+    if (found == entry.tasks.end()) return;
+    task = std::move(found->second);
+    entry.tasks.erase(found);
+    row = entry.row;
   });
-  if (row) FinishInPool(*row, id, outcome);
+  if (!row) return;
+  RecordRun(task);
+  FinishInPool(*row, id, outcome, RunTimeOf(task));
+}
+
+duration host_claims::RunTimeOf(const claimed_task& task) const {
+  // The start of a task taken over from another holder is not known.
+  return task.started == time_point{} ? duration{} : parts_.Now() - task.started;
+}
+
+void host_claims::RecordRun(const claimed_task& task) const {
+  const duration ran = RunTimeOf(task);
+  if (ran > duration{}) {
+    parts_.Record(latency::kRunTime, task.work.tenant, task.work.work_class, ran);
+  }
 }
 
-void host_claims::FinishInPool(const listed_host& row, const attempt_id& id, finish_kind outcome) {
-  parts_.pools.Handle(KeyOf(row), work_finished{id, row.host, outcome, {}});
+void host_claims::FinishInPool(const listed_host& row, const attempt_id& id, finish_kind outcome,
+                               duration ran) {
+  parts_.pools.Handle(KeyOf(row), work_finished{id, row.host, outcome, ran});
 }
 
 void host_claims::Report(const attempt_id& id, const host_id& host, std::uint64_t term,
--- a/packages/node/src/partition_runner.cc
+++ b/packages/node/src/partition_runner.cc
@@ -238,7 +238,8 @@
   s.unpreferred_since = parts_.Now();
   for (const auto& document : parts_.documents.All()) Step(s, document_changed{document}, out);
   Step(s, ownership_taken{epoch, parts_.port.wall_ms()}, out);
-  parts_.Event("partition_owned", Stream() + " epoch " + std::to_string(epoch));
+  const std::string stream = Stream();
+  parts_.Event(event_number::kPartitionAcquired, {{"partition", stream}, {"epoch", epoch}});
 }
 
 void partition_runner::Lose(state& s, std::vector<delivery>& out) {
@@ -257,7 +258,8 @@
     out.emplace_back(std::move(action.effect));
   }
   s.actions.clear();
-  parts_.Event("partition_lost", Stream());
+  const std::string stream = Stream();
+  parts_.Event(event_number::kPartitionLost, {{"partition", stream}});
 }
 
 void partition_runner::LoseToNewerOwner(std::uint64_t epoch) {
--- a/packages/node/src/parts.h
+++ b/packages/node/src/parts.h
@@ -28,13 +28,24 @@
 
 struct entry_node::parts {
   parts(node_options node, ports outside, node_observer watcher)
-      : options(std::move(node)), port(std::move(outside)), observer(std::move(watcher)) {}
+      : options(std::move(node)), port(std::move(outside)), observer(watcher) {}
 
   time_point Now() const { return port.now(); }
   // Runs the function later unless the node has stopped by then.
   void At(time_point when, std::function<void()> work);
-  void Event(std::string_view name, std::string_view detail) const {
-    if (observer.event) observer.event(name, detail);
+  void Event(event_number number, std::initializer_list<event_field> fields) const {
+    if (observer.events != nullptr) observer.events->Write(number, fields);
+  }
+  void Record(latency kind, const tenant_id& tenant, const class_id& work_class,
+              duration time) const {
+    if (observer.numbers != nullptr) {
+      observer.numbers->Record(kind, tenant.value, work_class.value, time);
+    }
+  }
+  void Count(work_count kind, const tenant_id& tenant, const class_id& work_class) const {
+    if (observer.numbers != nullptr) {
+      observer.numbers->Count(kind, tenant.value, work_class.value);
+    }
   }
   std::uint64_t Random();
 
--- a/packages/node/src/request_runner.cc
+++ b/packages/node/src/request_runner.cc
@@ -27,6 +27,19 @@
   return errc::kOk;
 }
 
+work_count CountOf(errc code) {
+  if (code == errc::kOk) return work_count::kSucceeded;
+  switch (OutcomeOf(code)) {
+    case work_outcome::kNotRun:
+      return work_count::kRefused;
+    case work_outcome::kUnknown:
+      return work_count::kUnknown;
+    case work_outcome::kFailed:
+      return work_count::kFailed;
+  }
+  return work_count::kUnknown;
+}
+
 }  // namespace
 
 request_runner::request_runner(entry_node::parts& parts) : parts_(parts) {}
@@ -50,7 +63,10 @@
     request.time_left = document->FindService(request.service.value)->timeout;
   }
   ++in_flight_;
-  auto counted = [this, reply = std::move(reply)](const request_answer& answer) {
+  parts_.Count(work_count::kAccepted, request.tenant, request.work_class);
+  auto counted = [this, reply = std::move(reply), tenant = request.tenant,
+                  work_class = request.work_class](const request_answer& answer) {
+    parts_.Count(CountOf(answer.code), tenant, work_class);
     reply(answer);
     --in_flight_;
   };
@@ -232,6 +248,7 @@
     if (document == nullptr || state.attempt + 1 >= document->retry.max_attempts) return false;
     when = parts_.Now() + RetryDelay(document->retry, state.attempt + 1, parts_.Random());
     if (when >= state.deadline || !TakeRetry(state.request.environment)) return false;
+    parts_.Count(work_count::kRetried, state.request.tenant, state.request.work_class);
     ++state.attempt;
     state.avoid.push_back(host);
   }
@@ -289,10 +306,8 @@
     state = std::move(found->second);
     shard.requests.erase(found);
   }
-  if (parts_.observer.answered) {
-    parts_.observer.answered(state.request.tenant, state.request.work_class,
-                             parts_.Now() - state.arrived);
-  }
+  parts_.Record(latency::kAnswerTime, state.request.tenant, state.request.work_class,
+                parts_.Now() - state.arrived);
   state.reply(answer);
 }
 
