--- a/packages/testing/include/sycamorehinge/testing/platform.h
+++ b/packages/testing/include/sycamorehinge/testing/platform.h
@@ -29,7 +29,7 @@
   std::uint32_t targets = 50;
   std::uint32_t rack_size = 8;
   // Capacity of each worker, without accelerators.
-  resources worker{30'000, 133'120, 0, 0};
+  resources worker{30'000, 130'000, 0, 0};
   // Accelerators of all workers, `accelerators_per_worker` on each of the first workers.
   std::uint32_t accelerators = 0;
   std::uint32_t accelerators_per_worker = 4;
