--- a/packages/testing/include/sycamorehinge/testing/history.h
+++ b/packages/testing/include/sycamorehinge/testing/history.h
@@ -130,6 +130,10 @@
   std::uint64_t host_bytes = 0;
   std::uint64_t claim_calls = 0;
   std::uint64_t claim_bytes = 0;
+  std::uint64_t start_calls = 0;
+  std::uint64_t execute_calls = 0;
+  std::uint64_t void_calls = 0;
+  std::uint64_t stop_calls = 0;
   std::uint64_t list_calls = 0;
   template <class Archive>
   void Describe(Archive& archive) {
@@ -141,6 +145,10 @@
     archive("host_bytes", host_bytes);
     archive("claim_calls", claim_calls);
     archive("claim_bytes", claim_bytes);
+    archive("start_calls", start_calls);
+    archive("execute_calls", execute_calls);
+    archive("void_calls", void_calls);
+    archive("stop_calls", stop_calls);
     archive("list_calls", list_calls);
   }
 };
--- a/packages/testing/include/sycamorehinge/testing/platform.h
+++ b/packages/testing/include/sycamorehinge/testing/platform.h
@@ -128,7 +128,14 @@
     std::atomic<std::uint64_t> host_bytes = 0;
     std::atomic<std::uint64_t> claim_calls = 0;
     std::atomic<std::uint64_t> claim_bytes = 0;
+    std::atomic<std::uint64_t> start_calls = 0;
+    std::atomic<std::uint64_t> execute_calls = 0;
+    std::atomic<std::uint64_t> void_calls = 0;
+    std::atomic<std::uint64_t> stop_calls = 0;
     std::atomic<std::uint64_t> list_calls = 0;
+
+    // Counts a call on a host with the bytes of its request and reply.
+    void CountHostCall(std::string_view call, std::uint64_t bytes);
   };
   counters& Counters() { return counters_; }
   platform_totals Totals() const;
--- a/packages/testing/src/control_api.cc
+++ b/packages/testing/src/control_api.cc
@@ -77,6 +77,10 @@
                          {"host_bytes", totals.host_bytes},
                          {"claim_calls", totals.claim_calls},
                          {"claim_bytes", totals.claim_bytes},
+                         {"start_calls", totals.start_calls},
+                         {"execute_calls", totals.execute_calls},
+                         {"void_calls", totals.void_calls},
+                         {"stop_calls", totals.stop_calls},
                          {"list_calls", totals.list_calls},
                          {"workers_capacity", SizeToJson(workers.capacity)},
                          {"workers_taken", SizeToJson(workers.taken)}});
--- a/packages/testing/src/figures.cc
+++ b/packages/testing/src/figures.cc
@@ -86,6 +86,10 @@
   text += Line("log_read_bytes", totals.read_bytes, "B");
   text += Line("claim_calls", totals.claim_calls, "1");
   text += Line("claim_bytes", totals.claim_bytes, "B");
+  text += Line("start_calls", totals.start_calls, "1");
+  text += Line("execute_calls", totals.execute_calls, "1");
+  text += Line("void_calls", totals.void_calls, "1");
+  text += Line("stop_calls", totals.stop_calls, "1");
   text += Line("host_bytes", totals.host_bytes, "B");
   return text;
 }
--- a/packages/testing/src/platform.cc
+++ b/packages/testing/src/platform.cc
@@ -170,10 +170,25 @@
   return sum;
 }
 
+void platform::counters::CountHostCall(std::string_view call, std::uint64_t bytes) {
+  ++host_calls;
+  host_bytes += bytes;
+  if (call == "claim") {
+    ++claim_calls;
+    claim_bytes += bytes;
+  }
+  if (call == "start") ++start_calls;
+  if (call == "execute") ++execute_calls;
+  if (call == "void") ++void_calls;
+  if (call == "stop") ++stop_calls;
+}
+
 platform_totals platform::Totals() const {
-  return {counters_.appends,     counters_.append_bytes, counters_.reads,
-          counters_.read_bytes,  counters_.host_calls,   counters_.host_bytes,
-          counters_.claim_calls, counters_.claim_bytes,  counters_.list_calls};
+  return {counters_.appends,       counters_.append_bytes, counters_.reads,
+          counters_.read_bytes,    counters_.host_calls,   counters_.host_bytes,
+          counters_.claim_calls,   counters_.claim_bytes,  counters_.start_calls,
+          counters_.execute_calls, counters_.void_calls,   counters_.stop_calls,
+          counters_.list_calls};
 }
 
 bool platform::WaitUntil(time_point until) {
--- a/packages/testing/src/standin_api.cc
+++ b/packages/testing/src/standin_api.cc
@@ -154,14 +154,7 @@
   } catch (const malformed_id&) {
     reply = ErrorReply(errc::kMalformed);
   }
-  platform::counters& counters = platform_.Counters();
-  const std::uint64_t bytes = request.body.size() + reply.body.size();
-  ++counters.host_calls;
-  counters.host_bytes += bytes;
-  if (call == "claim") {
-    ++counters.claim_calls;
-    counters.claim_bytes += bytes;
-  }
+  platform_.Counters().CountHostCall(call, request.body.size() + reply.body.size());
   return fate.lose_answer || platform_.IsDown(host) ? Cut() : reply;
 }
 
