--- a/packages/testing/include/sycamorehinge/testing/platform.h
+++ b/packages/testing/include/sycamorehinge/testing/platform.h
@@ -29,7 +29,7 @@
   std::uint32_t targets = 50;
   std::uint32_t rack_size = 8;
   // Capacity of each worker, without accelerators.
-  resources worker{30'000, 133'120, 0, 0};
+  resources worker{30'000, 130'000, 0, 0};
   // Accelerators of all workers, `accelerators_per_worker` on each of the first workers.
   std::uint32_t accelerators = 0;
   std::uint32_t accelerators_per_worker = 4;
@@ -128,7 +128,14 @@
     std::atomic<std::uint64_t> host_bytes = 0;
     std::atomic<std::uint64_t> claim_calls = 0;
     std::atomic<std::uint64_t> claim_bytes = 0;
+    std::atomic<std::uint64_t> start_calls = 0;
+    std::atomic<std::uint64_t> execute_calls = 0;
+    std::atomic<std::uint64_t> void_calls = 0;
+    std::atomic<std::uint64_t> stop_calls = 0;
     std::atomic<std::uint64_t> list_calls = 0;
+
+    // Counts a call on a host with the bytes of its request and reply.
+    void CountHostCall(std::string_view call, std::uint64_t bytes);
   };
   counters& Counters() { return counters_; }
   platform_totals Totals() const;
