--- a/packages/ctl/src/commands/request.cc
+++ b/packages/ctl/src/commands/request.cc
@@ -1,6 +1,7 @@
 #include "commands/commands.h"
 #include "files.h"
 #include "json_fields.h"
+#include "random_id.h"
 
 namespace sycamorehinge {
 
@@ -20,11 +21,12 @@
   std::string body_file;
 };
 
-api_request MakeRequest(const request_options& options, std::string body) {
+api_request MakeRequest(const request_options& options, const std::string& id, std::string body) {
   api_request request{
       .method = "POST",
       .path = "/v1/requests/" + UrlEncoded(options.service),
       .headers = {{"Content-Type", "application/octet-stream"},
+                  {"Sycamorehinge-Request", id},
                   {"Sycamorehinge-Environment", options.environment},
                   {"Sycamorehinge-Tenant", options.tenant},
                   {"Sycamorehinge-Class", options.work_class},
@@ -44,14 +46,19 @@
     if (!text) return FailUsage(context, text.detail());
     body = *std::move(text);
   }
+  const std::string id = RandomId();
   // With a key, the partition runs the request at most once however often it arrives.
   const bool repeatable = !options.not_idempotent || !options.key.empty();
   const result<api_reply> reply =
-      context.api.Send(MakeRequest(options, std::move(body)),
+      context.api.Send(MakeRequest(options, id, std::move(body)),
                        repeatable ? repeat_rule::kRepeatable : repeat_rule::kOnce);
   if (!reply || reply->status != 200) return Fail(context, ErrorOf(reply, call_kind::kChange));
+  if (!reply->request_id.empty() && reply->request_id != id) {
+    return Fail(context, {exit_code::kUnknownOutcome, reply->status,
+                          "the answer belongs to another request", nlohmann::json()});
+  }
   if (context.format == output_format::kJson) {
-    context.out << JsonText({{"request", reply->request_id}, {"body", reply->body}}) << "\n";
+    context.out << JsonText({{"request", id}, {"body", reply->body}}) << "\n";
   } else {
     context.out << reply->body;
   }
--- a/packages/ctl/src/commands/submit.cc
+++ b/packages/ctl/src/commands/submit.cc
@@ -1,9 +1,9 @@
 #include <optional>
-#include <random>
 
 #include "commands/commands.h"
 #include "files.h"
 #include "json_fields.h"
+#include "random_id.h"
 #include "sycamorehinge/settings/job_file.h"
 
 namespace sycamorehinge {
@@ -35,8 +35,8 @@
 // Largest sizes that a flag may give; they keep thousandths far below the largest integer.
 constexpr double kMaxSize = 1e7;
 constexpr std::int64_t kMaxAccelerators = 1'000'000;
-constexpr std::uint32_t kMaxTasks = 100'000;
-constexpr std::int64_t kMaxMs = 366LL * 86'400'000;
+constexpr std::uint32_t kMaxTasks = 10'000;
+constexpr std::int64_t kMaxMs = 365LL * 86'400'000;
 
 std::int64_t Thousandths(double value) { return static_cast<std::int64_t>(value * 1000 + 0.5); }
 
@@ -76,15 +76,6 @@
   if (options.not_preemptible) job.preemptible = false;
 }
 
-// A key that no other submission has, so that a submission whose reply was lost can be repeated.
-std::string FreshKey() {
-  std::random_device device;
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string key = "ctl-";
-  for (int digit = 0; digit < 32; ++digit) key += kDigits[device() % kDigits.size()];
-  return key;
-}
-
 std::int64_t Milliseconds(duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
@@ -138,7 +129,8 @@
   }
   const std::string complaint = Complaint(job);
   if (!complaint.empty()) return FailUsage(context, complaint);
-  if (job.key.empty()) job.key = FreshKey();
+  // With a key, a submission whose reply was lost can be repeated.
+  if (job.key.empty()) job.key = RandomId();
   return job;
 }
 
--- a/packages/ctl/src/commands/wait.cc
+++ b/packages/ctl/src/commands/wait.cc
@@ -17,7 +17,7 @@
 // Takeover of a dead entry process lasts at most 15 s; longer silence is worth a person's time.
 constexpr duration kMaxSilence = std::chrono::seconds(60);
 
-constexpr std::int64_t kMaxWaitMs = 366LL * 86'400'000;
+constexpr std::int64_t kMaxWaitMs = 365LL * 86'400'000;
 
 struct wait_options {
   std::string job;
--- a/packages/ctl/tests/command_test.cc
+++ b/packages/ctl/tests/command_test.cc
@@ -168,6 +168,10 @@
   CHECK(api.out.str() == answer);
   CHECK(api.calls[0].request.path == "/v1/requests/s");
   CHECK(api.calls[0].request.body == "order");
+
+  // The answer of another request must not be taken for this one's.
+  api.replies.push_back(api_reply{200, "x", "other"});
+  CHECK(api.Run({"request", "s", "--environment", "e", "--tenant", "t", "--class", "c"}) == 5);
 }
 
 // Guards against replies with missing fields or control sequences that reach the terminal.
--- a/packages/settings/src/job_file.cc
+++ b/packages/settings/src/job_file.cc
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr std::size_t kMaxJobBytes = 1U << 20;
-constexpr std::int64_t kMaxTasks = 100'000;
-constexpr std::int64_t kMaxRunMs = 366LL * 86'400'000;
+constexpr std::int64_t kMaxTasks = 10'000;
+constexpr std::int64_t kMaxRunMs = 365LL * 86'400'000;
 
 void ReadKind(section_reader& reader, work_kind& out) {
   constexpr std::array kKinds = {work_kind::kBatch, work_kind::kService, work_kind::kGang};
--- a/packages/settings/src/parameter_table.cc
+++ b/packages/settings/src/parameter_table.cc
@@ -279,12 +279,12 @@
     parameter{.section = "access",
               .key = "callers",
               .field = Get<&s::access, &access_section::callers>,
-              .help = "Sources of tokens that callers present; none refuses all callers.",
+              .help = "Sources of tokens that callers present; none admits every caller.",
               .rule = kSecretSource},
     parameter{.section = "access",
               .key = "operators",
               .field = Get<&s::access, &access_section::operators>,
-              .help = "Sources of tokens that operators present; none refuses all operators.",
+              .help = "Sources of tokens that operators present; none admits everyone.",
               .rule = kSecretSource},
 };
 
--- a/packages/settings/src/process_settings.cc
+++ b/packages/settings/src/process_settings.cc
@@ -92,12 +92,21 @@
                 NearestName(region, known));
 }
 
+void CheckAccess(section_reader& reader, const access_section& access) {
+  // Without tokens of operators, everyone who is no caller could still drain and promote.
+  if (!access.callers.empty() && access.operators.empty()) {
+    reader.Report("operators", errc::kMalformed,
+                  "expected at least one source, since access.callers is restricted");
+  }
+}
+
 // Checks that span several keys of one section; runs after all sections are read.
 void CheckSection(std::string_view section, section_reader& reader,
                   const process_settings& settings) {
   if (section == "process") CheckRegion(reader, settings);
   if (section == "peers") CheckKey(reader, settings.peers);
   if (section == "claims") CheckClaims(reader, settings.claims);
+  if (section == "access") CheckAccess(reader, settings.access);
   if (section == "heartbeat") CheckHeartbeat(reader, settings.heartbeat);
 }
 
--- a/packages/settings/src/text_rules.cc
+++ b/packages/settings/src/text_rules.cc
@@ -70,8 +70,7 @@
 bool IsOptionalHttpAddress(std::string_view text) { return text.empty() || IsHttpAddress(text); }
 
 bool IsLogLevel(std::string_view text) {
-  constexpr std::array<std::string_view, 5> kLevels = {"trace", "debug", "info", "warning",
-                                                       "error"};
+  constexpr std::array<std::string_view, 3> kLevels = {"info", "warning", "error"};
   return std::find(kLevels.begin(), kLevels.end(), text) != kLevels.end();
 }
 
--- a/packages/settings/src/text_rules.h
+++ b/packages/settings/src/text_rules.h
@@ -25,7 +25,7 @@
                                            IsPeerAddress};
 inline constexpr text_rule kHttpAddress = {"URL, for example http://127.0.0.1:9000", IsHttpAddress};
 inline constexpr text_rule kOptionalHttpAddress = {"URL, or empty", IsOptionalHttpAddress};
-inline constexpr text_rule kLogLevel = {"trace, debug, info, warning or error", IsLogLevel};
+inline constexpr text_rule kLogLevel = {"info, warning or error", IsLogLevel};
 inline constexpr text_rule kSecretSource = {"ENV:NAME or FILE:PATH", IsSecretSource};
 inline constexpr text_rule kOptionalVariableName = {"name of an environment variable, or empty",
                                                     IsOptionalVariableName};
