Stop a holder and a partition owner from answering each other for ever

Change: a stop of an attempt that the holder does not know causes no report. No functional change in core.

--- a/packages/node/src/host_tasks.cc
+++ b/packages/node/src/host_tasks.cc
@@ -171,10 +171,12 @@
 void host_claims::StopTask(const host_id& host, const attempt_id& id, bool checkpoint) {
   std::optional<listed_host> row;
   std::uint64_t term = 0;
+  bool known = false;
   OnEntry(host, [&](claim_entry& entry, std::vector<notice>&) {
     const auto found = entry.tasks.find(id);
-    const bool ended = found != entry.tasks.end() && found->second.ended;
-    if (ended || found == entry.tasks.end()) entry.ack.push_back(id);
+    known = found != entry.tasks.end();
+    const bool ended = known && found->second.ended;
+    if (ended || !known) entry.ack.push_back(id);
     if (ended) entry.tasks.erase(found);
     if (ended || !entry.held) return;
     row = entry.row;
@@ -182,10 +184,12 @@
   });
   if (!row) return;
   parts_.port.call_host(*row, stop_call{term, id, checkpoint},
-                        [this, host, id, term](const result<host_answer>& answer) {
+                        [this, host, id, term, known](const result<host_answer>& answer) {
                           if (!answer && FactOf(answer) == attempt_fact::kUnreachable) return;
                           Forget(host, id, finish_kind::kCancelled);
-                          Report(id, host, term, attempt_fact::kNever);
+                          // The owner answers every report on a closed attempt with a stop, so a
+                          // stop of an unknown attempt must not cause another report.
+                          if (known) Report(id, host, term, attempt_fact::kNever);
                         });
 }
 
