--- a/packages/core/bench/measure_packing.cc
+++ b/packages/core/bench/measure_packing.cc
@@ -75,7 +75,8 @@
 struct gang_result {
   std::uint64_t placed = 0;
   std::uint64_t refused = 0;
-  // Room held free for waiting gangs, as a share of all room over time.
+  // Free room before the gangs come, and while they wait, as a share of all room over time.
+  double idle_before = 0;
   double idle = 0;
   double longest_wait_s = 0;
 };
@@ -87,85 +88,113 @@
   return 0;
 }
 
-gang_result GangsOnce(const pool_options& options, std::uint64_t seed) {
-  constexpr int kGangs = 20;
-  simulated_pool simulated(options);
-  simulated.ClaimHosts(kWorkers, kLargeWorker, 0, 0);
-  std::uint64_t random = seed;
-  gang_result result;
-  simulated.observe = [&result](const pool_action& action, time_point) {
-    if (const auto* placed = std::get_if<work_placed>(&action)) {
-      if (placed->item.count == 1) return;
-      ++result.placed;
-      const double waited = std::chrono::duration<double>(placed->waited).count();
-      result.longest_wait_s = std::max(result.longest_wait_s, waited);
-    } else if (std::holds_alternative<work_refused>(action)) {
-      ++result.refused;
+// Offers single tasks of 1 to 4 cores, or gangs of 6 cores for each task.
+class gang_load {
+ public:
+  gang_load(simulated_pool& simulated, std::uint64_t seed) : simulated_(simulated), random_(seed) {}
+
+  void OfferTasks(int tasks) {
+    for (int n = 0; n < tasks; ++n)
+      Offer(1, 1 + static_cast<std::int64_t>(NextRandom(random_) % 4));
+  }
+  void OfferGangs(int gangs) {
+    for (int n = 0; n < gangs; ++n) {
+      Offer(static_cast<std::uint32_t>(50 + NextRandom(random_) % 100), 6);
     }
-  };
-  std::uint64_t number = 0;
-  const auto offer = [&](std::uint32_t count, std::int64_t cores) {
+  }
+
+ private:
+  void Offer(std::uint32_t count, std::int64_t cores) {
     work_item item;
-    item.id.task.job = {1, 1, ++number};
+    item.id.task.job = {1, 1, ++number_};
     item.kind = count > 1 ? work_kind::kGang : work_kind::kBatch;
     item.count = count;
     item.work_class = {count > 1 ? "gang" : "task"};
-    item.tenant = {"team-" + std::to_string(number % 5)};
+    item.tenant = {"team-" + std::to_string(number_ % 5)};
     item.size = {cores * 1000, cores * 4000, 0, 0};
-    const duration run(static_cast<std::int64_t>(5e5 + UniformDouble(random) * 1e6));
+    const duration run(static_cast<std::int64_t>(5e5 + UniformDouble(random_) * 1e6));
     item.run_time = run;
-    simulated.Offer(item, run);
+    simulated_.Offer(item, run);
+  }
+
+  simulated_pool& simulated_;
+  std::uint64_t random_;
+  std::uint64_t number_ = 0;
+};
+
+void CountGangs(const pool_action& action, gang_result& result) {
+  if (const auto* placed = std::get_if<work_placed>(&action)) {
+    if (placed->item.count == 1) return;
+    ++result.placed;
+    const double waited = std::chrono::duration<double>(placed->waited).count();
+    result.longest_wait_s = std::max(result.longest_wait_s, waited);
+  } else if (std::holds_alternative<work_refused>(action)) {
+    ++result.refused;
+  }
+}
+
+// Single tasks keep the workers busy; the gangs arrive at once and each takes 20% to 60% of them.
+gang_result GangsOnce(const pool_options& options, std::uint64_t seed) {
+  constexpr int kGangs = 20;
+  constexpr int kBacklog = 100;
+  simulated_pool simulated(options);
+  simulated.ClaimHosts(kWorkers, kLargeWorker, 0, 0);
+  gang_result result;
+  simulated.observe = [&result](const pool_action& action, time_point) {
+    CountGangs(action, result);
   };
-  // Single tasks keep the workers busy; the gangs arrive at once and each takes up to 60% of them.
-  const time_point end = simulated.Now() + std::chrono::seconds(60);
+  gang_load load(simulated, seed);
+  const time_point start(std::chrono::seconds(2));
+  const time_point end(std::chrono::seconds(60));
   bool offered = false;
-  double taken = 0;
   int samples = 0;
   while (simulated.Now() < end && result.placed + result.refused < kGangs) {
-    if (WaitingTasks(simulated.Target()) < 100) {
-      for (int n = 0; n < 100; ++n) offer(1, 1 + static_cast<std::int64_t>(NextRandom(random) % 4));
-    }
-    if (!offered && simulated.Now() > time_point(std::chrono::seconds(2))) {
-      for (int n = 0; n < kGangs; ++n) {
-        offer(static_cast<std::uint32_t>(50 + NextRandom(random) % 100), 6);
-      }
+    if (WaitingTasks(simulated.Target()) < kBacklog) load.OfferTasks(kBacklog);
+    if (!offered && simulated.Now() > start) {
+      load.OfferGangs(kGangs);
       offered = true;
     }
     simulated.RunUntil(simulated.Now() + std::chrono::milliseconds(10));
-    if (!offered) continue;
     const pool_summary summary = simulated.Target().Summary();
-    taken += BoundShare(summary.taken, summary.capacity);
-    ++samples;
+    const double idle = 1 - BoundShare(summary.taken, summary.capacity);
+    if (offered) {
+      result.idle += idle;
+      ++samples;
+    } else {
+      result.idle_before = idle;
+    }
   }
-  result.idle = samples > 0 ? 1 - taken / samples : 0;
+  result.idle /= std::max(samples, 1);
   return result;
 }
 
+void MeasureMixes(const measure_options& options, const resources& worker, double volume,
+                  std::string_view scenario) {
+  constexpr int kMixes = 20;
+  const std::vector<pool_variant> variants = PoolVariants();
+  std::vector<double> sums(variants.size());
+  std::vector<double> least(variants.size(), 1);
+  for (int mix = 0; mix < kMixes; ++mix) {
+    for (std::size_t v = 0; v < variants.size(); ++v) {
+      const double ratio = PackOnce(variants[v].options, worker, volume,
+                                    options.seed + static_cast<std::uint64_t>(mix));
+      sums[v] += ratio;
+      least[v] = std::min(least[v], ratio);
+    }
+  }
+  for (std::size_t v = 0; v < variants.size(); ++v) {
+    Print(scenario, variants[v].name, "mean", sums[v] / kMixes, "of_bound");
+    Print(scenario, variants[v].name, "least", least[v], "of_bound");
+  }
+}
+
 }  // namespace
 
 void MeasurePacking(const measure_options& options) {
-  constexpr int kMixes = 20;
-  for (const auto& [worker, name] : {std::pair{kLargeWorker, std::string("130gb")},
-                                     std::pair{kSmallWorker, std::string("60gb")}}) {
-    for (const auto& [volume, load] :
-         {std::pair{1.0, std::string("exact")}, std::pair{1.5, std::string("backlog")}}) {
-      const std::vector<pool_variant> variants = PoolVariants();
-      std::vector<double> sums(variants.size());
-      std::vector<double> least(variants.size(), 1);
-      for (int mix = 0; mix < kMixes; ++mix) {
-        for (std::size_t v = 0; v < variants.size(); ++v) {
-          const double ratio = PackOnce(variants[v].options, worker, volume,
-                                        options.seed + static_cast<std::uint64_t>(mix));
-          sums[v] += ratio;
-          least[v] = std::min(least[v], ratio);
-        }
-      }
-      for (std::size_t v = 0; v < variants.size(); ++v) {
-        const std::string scenario = "packing_" + load + "." + name;
-        Print(scenario, variants[v].name, "mean", sums[v] / kMixes, "of_bound");
-        Print(scenario, variants[v].name, "least", least[v], "of_bound");
-      }
-    }
+  for (const auto& [worker, name] :
+       {std::pair{kLargeWorker, "130gb"}, std::pair{kSmallWorker, "60gb"}}) {
+    MeasureMixes(options, worker, 1.0, std::string("packing_exact.") + name);
+    MeasureMixes(options, worker, 1.5, std::string("packing_backlog.") + name);
   }
 }
 
@@ -174,7 +203,8 @@
     const gang_result result = GangsOnce(variant.options, options.seed);
     Print("gangs", variant.name, "placed", static_cast<double>(result.placed), "of_20");
     Print("gangs", variant.name, "refused", static_cast<double>(result.refused), "of_20");
-    Print("gangs", variant.name, "idle_room", result.idle, "share");
+    Print("gangs", variant.name, "idle_before", result.idle_before, "share");
+    Print("gangs", variant.name, "idle_waiting", result.idle, "share");
     Print("gangs", variant.name, "longest_wait", result.longest_wait_s, "s");
   }
 }
--- a/packages/core/include/sycamorehinge/core/host_index.h
+++ b/packages/core/include/sycamorehinge/core/host_index.h
@@ -54,9 +54,10 @@
 
  private:
   static constexpr std::uint32_t kSide = 32;
+  static constexpr std::size_t kCells = std::size_t{kSide} * kSide;
   struct group_cells {
     std::array<std::uint32_t, kSide> rows{};
-    std::array<std::vector<host_slot>, kSide * kSide> cells;
+    std::array<std::vector<host_slot>, kCells> cells;
     std::vector<resources> maxima;
   };
 
@@ -94,7 +95,7 @@
     const std::uint32_t column = static_cast<std::uint32_t>(
         ascending ? __builtin_ctz(columns) : 31 - __builtin_clz(columns));
     columns &= ~(1U << column);
-    for (const host_slot host : cells.cells[row * kSide + column]) {
+    for (const host_slot host : cells.cells[std::size_t{row} * kSide + column]) {
       if (!visit(host)) return false;
     }
   }
--- a/packages/core/src/pool.cc
+++ b/packages/core/src/pool.cc
@@ -81,7 +81,7 @@
   Dispatch(now, out);
 }
 
-pool::pool(pool_options options) : state_(std::make_unique<state>(std::move(options))) {}
+pool::pool(pool_options options) : state_(std::make_unique<state>(options)) {}
 pool::~pool() = default;
 pool::pool(pool&&) noexcept = default;
 pool& pool::operator=(pool&&) noexcept = default;
--- a/packages/core/src/pool_drain.cc
+++ b/packages/core/src/pool_drain.cc
@@ -21,7 +21,7 @@
 // Waiting items of one class for which work is preempted at one time.
 constexpr int kPreemptWindow = 16;
 constexpr int kMaxVictimsLookedAt = 32;
-constexpr int kMaxHostsLookedAt = 200;
+constexpr std::ptrdiff_t kMaxHostsLookedAt = 100;
 // A preempted task has this time to checkpoint and stop before more work is preempted.
 constexpr duration kPreemptAgain = std::chrono::seconds(5);
 
@@ -140,49 +140,58 @@
   return hosts < kMinHostsToDrain ? 0 : hosts;
 }
 
-// Draining a host is useless while it runs work that ends much later and may not be preempted.
-bool pool::state::EmptiesSoon(host_slot host, time_point now) const {
+// When the host should be empty: time_point::max() if it runs work that ends much later and may
+// not be preempted, since draining it is useless then.
+time_point pool::state::EmptyAt(host_slot host, time_point now) const {
+  time_point latest = now;
   for (work_slot w = ledger.Host(host).first; w != kNoSlot; w = ledger.Work(w).next) {
     const room_work& work = ledger.Work(w);
-    if (work.expected_end > now + kLongestDrain && !IsVictim(work)) return false;
+    if (IsVictim(work)) continue;
+    if (work.expected_end > now + kLongestDrain) return time_point::max();
+    latest = std::max(latest, work.expected_end);
   }
-  return true;
+  return latest;
 }
 
-// The hosts that need the least room to be freed, at most the class's share of all hosts.
-std::vector<host_slot> pool::state::HostsToDrain(const queue_item& entry, time_point now) const {
-  struct candidate {
-    double free = 0;
-    host_slot host = 0;
-    std::int64_t tasks = 0;
-  };
-  std::vector<candidate> candidates;
+// Hosts that could hold some of the item's tasks, those with the most room for them first.
+std::vector<pool::state::drain_candidate> pool::state::DrainCandidates(
+    const resources& size) const {
+  std::vector<drain_candidate> candidates;
   for (host_slot host = 0; host < index.Size(); ++host) {
     const indexed_host& at = index.At(host);
     if (at.group != host_group::kPlain && at.group != host_group::kAccelerator) continue;
-    const std::int64_t tasks = TimesIn(at.capacity, entry.item.size);
+    const std::int64_t tasks = TimesIn(at.capacity, size);
     if (tasks == 0) continue;
-    const auto fitting = static_cast<double>(TimesIn(at.free, entry.item.size));
-    candidates.push_back({fitting / static_cast<double>(tasks), host, tasks});
+    const auto fitting = static_cast<double>(TimesIn(at.free, size));
+    candidates.push_back({fitting / static_cast<double>(tasks), host, tasks, {}});
   }
-  const auto later = [](const candidate& a, const candidate& b) {
-    return a.free != b.free ? a.free < b.free : a.host > b.host;
-  };
-  std::make_heap(candidates.begin(), candidates.end(), later);
+  const auto middle =
+      candidates.begin() + std::min<std::ptrdiff_t>(kMaxHostsLookedAt, std::ssize(candidates));
+  std::partial_sort(candidates.begin(), middle, candidates.end(),
+                    [](const drain_candidate& a, const drain_candidate& b) {
+                      return a.free != b.free ? a.free > b.free : a.host < b.host;
+                    });
+  candidates.erase(middle, candidates.end());
+  return candidates;
+}
+
+// The hosts that should be empty first, at most the class's share of all hosts.
+std::vector<host_slot> pool::state::HostsToDrain(const queue_item& entry, time_point now) const {
+  std::vector<drain_candidate> candidates = DrainCandidates(entry.item.size);
+  for (drain_candidate& candidate : candidates) candidate.empty = EmptyAt(candidate.host, now);
+  std::stable_sort(
+      candidates.begin(), candidates.end(),
+      [](const drain_candidate& a, const drain_candidate& b) { return a.empty < b.empty; });
   const double share = shares.Class(entry.work_class).rule.share;
   const auto limit = std::max<std::size_t>(
       1, static_cast<std::size_t>(share * static_cast<double>(DrainableHosts())));
   std::vector<host_slot> hosts;
   std::int64_t tasks = 0;
-  int looked_at = 0;
-  while (!candidates.empty() && tasks < entry.item.count && hosts.size() < limit) {
-    std::pop_heap(candidates.begin(), candidates.end(), later);
-    const candidate best = candidates.back();
-    candidates.pop_back();
-    if (++looked_at > kMaxHostsLookedAt) break;
-    if (!EmptiesSoon(best.host, now)) continue;
-    hosts.push_back(best.host);
-    tasks += best.tasks;
+  for (const drain_candidate& candidate : candidates) {
+    if (tasks >= entry.item.count || hosts.size() >= limit) break;
+    if (candidate.empty == time_point::max()) break;
+    hosts.push_back(candidate.host);
+    tasks += candidate.tasks;
   }
   return hosts;
 }
--- a/packages/core/src/pool_state.h
+++ b/packages/core/src/pool_state.h
@@ -39,11 +39,11 @@
 enum class wait_reason { kNone, kQuota, kLimit, kShare, kRoom, kBackoff };
 
 struct pool::state {
-  explicit state(pool_options pool_options_)
-      : options(pool_options_),
-        queue(pool_options_.order),
-        ejection(pool_options_.eject_failing_hosts),
-        random(pool_options_.seed) {}
+  explicit state(const pool_options& given)
+      : options(given),
+        queue(given.order),
+        ejection(given.eject_failing_hosts),
+        random(given.seed) {}
 
   // Events, in pool.cc.
   void On(const host_claimed& event, time_point now, std::vector<pool_action>& out);
@@ -107,7 +107,16 @@
   bool HasDrain(queue_slot slot) const;
   bool MayDrain(const queue_item& entry) const;
   void AddDrain(queue_slot slot, bool gang, std::span<const host_slot> hosts, time_point until);
-  bool EmptiesSoon(host_slot host, time_point now) const;
+  struct drain_candidate {
+    // Share of the host's room for such tasks that is free.
+    double free = 0;
+    host_slot host = 0;
+    // Tasks that the empty host holds.
+    std::int64_t tasks = 0;
+    time_point empty;
+  };
+  time_point EmptyAt(host_slot host, time_point now) const;
+  std::vector<drain_candidate> DrainCandidates(const resources& size) const;
   std::vector<host_slot> HostsToDrain(const queue_item& entry, time_point now) const;
   bool IsLarge(const resources& size) const;
   std::size_t DrainableHosts() const;
--- a/packages/core/src/simulated_pool.cc
+++ b/packages/core/src/simulated_pool.cc
@@ -116,7 +116,7 @@
     ++starts_[place.host];
     ++all_starts_;
     const bool fails = failing_.count(place.host) > 0;
-    finishes_.push({now_ + (fails ? kFailAfter : run), task.item.id,
+    finishes_.push({now_ + (fails ? kFailAfter : run), ++sequence_, task.item.id,
                     fails ? finish_kind::kFailed : finish_kind::kSucceeded});
     running_.emplace(task.item.id, task);
     ++task.item.id.task.index;
@@ -133,7 +133,7 @@
   const auto found = running_.find(wanted.id);
   if (found == running_.end()) return;
   found->second.stopping = true;
-  finishes_.push({now_ + kStopAfter, wanted.id, finish_kind::kPreempted});
+  finishes_.push({now_ + kStopAfter, ++sequence_, wanted.id, finish_kind::kPreempted});
 }
 
 void simulated_pool::Finish(const finish& due) {
--- a/packages/core/src/simulated_pool.h
+++ b/packages/core/src/simulated_pool.h
@@ -65,10 +65,11 @@
   };
   struct finish {
     time_point at;
+    std::uint64_t sequence = 0;
     attempt_id id;
     finish_kind outcome = finish_kind::kSucceeded;
     friend bool operator<(const finish& a, const finish& b) {
-      return a.at != b.at ? a.at > b.at : a.id > b.id;
+      return a.at != b.at ? a.at > b.at : a.sequence > b.sequence;
     }
   };
 
@@ -91,6 +92,7 @@
   std::set<host_id> failing_;
   std::map<host_id, std::uint64_t> starts_;
   std::uint64_t all_starts_ = 0;
+  std::uint64_t sequence_ = 0;
 };
 
 }  // namespace sycamorehinge
--- a/packages/core/tests/pool_property_test.cc
+++ b/packages/core/tests/pool_property_test.cc
@@ -56,8 +56,10 @@
 
   void Offer(std::uint32_t argument) {
     const std::uint64_t job = ++last_job_;
-    work_item item = Item(job, {1000 * (1 + argument % 5), 100 * (1 + argument % 9), 0, 0},
-                          std::string(1, static_cast<char>('a' + argument % 3)));
+    work_item item = Item(
+        job,
+        {std::int64_t{1000} * (1 + argument % 5), std::int64_t{100} * (1 + argument % 9), 0, 0},
+        std::string(1, static_cast<char>('a' + argument % 3)));
     item.preemptible = argument % 2 == 0;
     if (argument % 5 == 0) item.count = 2 + argument % 4;
     if (argument % 6 == 0) item.deadline = driver_.now + std::chrono::milliseconds(argument % 300);
@@ -95,12 +97,13 @@
   void Claim(std::uint32_t argument) {
     const host_id host = HostName(argument);
     std::vector<held_work> running;
-    for (auto& [job, item] : items_) {
-      std::erase_if(item.tasks, [&](const auto& task) {
+    for (auto& entry : items_) {
+      const work_item& item = entry.second.item;
+      std::erase_if(entry.second.tasks, [&](const auto& task) {
         if (task.second != host.value) return false;
         if (!running.empty()) return true;
-        running.push_back({Id(job, task.first), item.item.tenant, item.item.work_class,
-                           item.item.size, item.item.preemptible});
+        running.push_back({Id(entry.first, task.first), item.tenant, item.work_class, item.size,
+                           item.preemptible});
         return false;
       });
     }
--- a/packages/core/tests/pool_test.cc
+++ b/packages/core/tests/pool_test.cc
@@ -200,7 +200,7 @@
   CHECK(pool.Placed().empty());
   bool placed = false;
   for (int step = 1; step < 400 && !placed; ++step) {
-    pool.Tick(step * 10);
+    pool.Tick(std::int64_t{step} * 10);
     placed = collect();
     const auto [job, host] = running.front();
     running.erase(running.begin());
