--- a/packages/core/src/partition_replay.cc
+++ b/packages/core/src/partition_replay.cc
@@ -29,6 +29,8 @@
   std::uint64_t sequence = batch.first_sequence;
   for (const partition_record& record : batch.records) {
     if (sequence > read_sequence) {
+      // A read that begins at a late duplicate may skip records; a frame with a gap is incomplete.
+      if (sequence > read_sequence + 1) frame.reset();
       read_sequence = sequence;
       ReplayRecord(record);
     }
--- /dev/null
+++ b/packages/core/tests/membership_test.cc
@@ -0,0 +1,98 @@
+#include "sycamorehinge/core/membership.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+namespace sycamorehinge {
+namespace {
+
+using std::chrono::milliseconds;
+
+process_status Status(std::string name, std::string region, std::uint64_t incarnation = 1) {
+  process_status status;
+  status.process = {std::move(name)};
+  status.incarnation = incarnation;
+  status.where = {{std::move(region)}, {"dc"}, {}};
+  status.ready = true;
+  return status;
+}
+
+// Guards against routing to processes that died, and against suspecting distant ones too early.
+TEST_CASE("Silence makes a process suspect, later in other regions") {
+  membership group(Status("a", "harju"), {});
+  const time_point start{std::chrono::seconds(9)};
+  group.Heard(Status("b", "harju"), start);
+  group.Heard(Status("c", "tartu"), start);
+  CHECK(group.IsAlive({"b"}, start + milliseconds(1499)));
+  CHECK_FALSE(group.IsAlive({"b"}, start + milliseconds(1500)));
+  CHECK(group.IsAlive({"c"}, start + milliseconds(5999)));
+  CHECK(group.Alive(start + milliseconds(1500)).size() == 2);
+  CHECK(group.LastHeard({"d"}) == std::nullopt);
+}
+
+// Guards against two processes that act under one name, and against late heartbeats.
+TEST_CASE("Incarnations order processes of one name") {
+  membership group(Status("a", "harju", 5), {});
+  CHECK(group.Heard(Status("a", "harju", 6), {}) == errc::kDuplicateName);
+  CHECK(group.Heard(Status("a", "harju", 4), {}) == errc::kReplayed);
+  CHECK(group.Heard(Status("b", "harju", 5), {}) == errc::kOk);
+  CHECK(group.Heard(Status("b", "harju", 4), {}) == errc::kReplayed);
+}
+
+// Guards against views that disagree, and against moving hosts that need not move.
+TEST_CASE("Rendezvous is the same everywhere and moves only the lost process's hosts") {
+  std::vector<membership> views;
+  for (const char* name : {"a", "b", "c", "d"})
+    views.emplace_back(Status(name, "harju"), membership_options{});
+  for (membership& view : views) {
+    for (const char* name : {"a", "b", "c", "d"}) view.Heard(Status(name, "harju"), {});
+  }
+  std::map<process_id, int> held;
+  std::map<host_id, process_id> before;
+  const location where{{"harju"}, {"dc"}, {}};
+  for (int i = 0; i < 200; ++i) {
+    const host_id host{"host" + std::to_string(i)};
+    before[host] = views[0].PreferredHolder(host, where, {});
+    CHECK(views[3].PreferredHolder(host, where, {}) == before[host]);
+    ++held[before[host]];
+  }
+  for (const auto& [process, hosts] : held) CHECK(hosts > 25);
+  process_status draining = Status("d", "harju");
+  draining.draining = true;
+  views[0].Heard(draining, {});
+  for (const auto& [host, holder] : before) {
+    const process_id after = views[0].PreferredHolder(host, where, {});
+    CHECK(after != process_id{"d"});
+    if (holder != process_id{"d"}) CHECK(after == holder);
+  }
+}
+
+// Guards against keys of one tenant in several homes, and partitions no region serves.
+TEST_CASE("Keys stay in partitions of the tenant's home") {
+  const std::vector<region_id> regions{{"tartu"}, {"harju"}, {"parnu"}};
+  std::set<partition_number> used;
+  for (int i = 0; i < 300; ++i) {
+    const auto number = PartitionOfKey({"t"}, std::to_string(i), {"parnu"}, regions, 16);
+    CHECK(RegionOfPartition(number, regions) == region_id{"parnu"});
+    used.insert(number);
+  }
+  CHECK(used.size() == 5);
+  CHECK(PartitionOfKey({"t"}, "k", {"elsewhere"}, regions, 16) < 16);
+}
+
+// Guards against asking a replaced owner while the newer one is known.
+TEST_CASE("The owner with the highest epoch is the known one") {
+  membership group(Status("a", "harju"), {});
+  process_status older = Status("b", "harju");
+  older.partitions = {{3, 10}};
+  process_status newer = Status("c", "harju");
+  newer.partitions = {{3, 20}};
+  group.Heard(newer, {});
+  group.Heard(older, {});
+  CHECK(group.KnownOwner(3, {}) == process_id{"c"});
+  CHECK(group.KnownOwner(4, {}).empty());
+}
+
+}  // namespace
+}  // namespace sycamorehinge
--- a/packages/core/tests/partition_model_test.cc
+++ b/packages/core/tests/partition_model_test.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <random>
 
 #include "partition_world.h"
@@ -32,14 +33,18 @@
   world.CheckEnd();
 }
 
-// First batch from which a reader sees a complete snapshot; nullopt if there is none.
+// First batch from which a reader sees the newest complete snapshot; nullopt if there is none.
 std::optional<std::size_t> StartOfLastSnapshot(const std::vector<stored_batch>& log,
                                                std::uint64_t epoch) {
   std::optional<std::size_t> begun;
   std::optional<std::size_t> complete;
+  std::uint64_t read = 0;
   for (std::size_t i = 0; i < log.size(); ++i) {
-    if (log[i].batch.epoch != epoch) continue;
-    for (const partition_record& record : log[i].batch.records) {
+    const record_batch& batch = log[i].batch;
+    // A batch that lands again much later does not start a newer snapshot.
+    if (batch.epoch != epoch || batch.first_sequence <= read) continue;
+    read = batch.first_sequence;
+    for (const partition_record& record : batch.records) {
       if (std::holds_alternative<snapshot_begun>(record)) begun = i;
       if (std::holds_alternative<snapshot_ended>(record)) complete = begun;
     }
--- /dev/null
+++ b/packages/core/tests/routing_test.cc
@@ -0,0 +1,56 @@
+#include "sycamorehinge/core/routing.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace sycamorehinge {
+namespace {
+
+process_status Peer(std::string name, std::string region, std::int64_t cores) {
+  process_status peer;
+  peer.process = {std::move(name)};
+  peer.where.region = {std::move(region)};
+  peer.ready = true;
+  peer.loads = {{{"env"}, {}, {cores, 100, 0, 0}, {cores, 100, 0, 0}, {}}};
+  return peer;
+}
+
+// Guards against billed cross-region traffic while the region has room, and against starving work
+// when it has none.
+TEST_CASE("Other regions are asked only when no peer of the region has room") {
+  std::vector<process_status> peers{Peer("a", "harju", 4000), Peer("b", "tartu", 9000)};
+  route_request request;
+  request.environment = {"env"};
+  request.size = {2000, 1, 0, 0};
+  request.region = {"harju"};
+  CHECK(Candidates(request, peers) == std::vector<process_id>{{"a"}});
+  peers[0].draining = true;
+  CHECK(Candidates(request, peers) == std::vector<process_id>{{"b"}});
+  const std::vector<process_id> refused{{"b"}};
+  request.refused = refused;
+  CHECK(Candidates(request, peers).empty());
+}
+
+// Guards against all processes sending their overflow to the one freest peer.
+TEST_CASE("The freer of two sampled peers comes first") {
+  std::vector<process_status> peers;
+  for (int i = 0; i < 6; ++i)
+    peers.push_back(Peer(std::string(1, static_cast<char>('a' + i)), "harju", 1000 * (i + 1)));
+  route_request request;
+  request.environment = {"env"};
+  request.size = {500, 1, 0, 0};
+  request.region = {"harju"};
+  std::set<process_id> firsts;
+  for (std::uint64_t i = 0; i < 64; ++i) {
+    request.random = StableHash(std::to_string(i));
+    const auto order = Candidates(request, peers);
+    REQUIRE(order.size() == 6);
+    CHECK(std::set<process_id>(order.begin(), order.end()).size() == 6);
+    CHECK(order[0] > order[1]);
+    firsts.insert(order[0]);
+  }
+  CHECK(firsts.size() == 5);
+}
+
+}  // namespace
+}  // namespace sycamorehinge
