--- a/packages/ctl/src/answer.cc
+++ b/packages/ctl/src/answer.cc
@@ -36,7 +36,7 @@
   const std::string detail = TextField(body, "detail");
   if (!detail.empty()) message += ": " + detail;
   const json& winner = ObjectField(body, "winner");
-  if (!winner.empty()) {
+  if (detail.empty() && !winner.empty()) {
     message += "; version " + std::to_string(NumberField(winner, "version")) + " by " +
                TextField(winner, "author") + " is in force";
   }
--- a/packages/ctl/src/commands/cluster.cc
+++ b/packages/ctl/src/commands/cluster.cc
@@ -1,4 +1,8 @@
 // The commands `hosts` and `queues`.
+#include <algorithm>
+#include <initializer_list>
+#include <vector>
+
 #include "commands/commands.h"
 #include "json_fields.h"
 #include "text_table.h"
@@ -29,6 +33,19 @@
   return state.empty() ? "ok" : state;
 }
 
+// The rows in the order of the fields, so that two outputs can be compared.
+std::vector<json> Sorted(const json& rows, std::initializer_list<std::string_view> fields) {
+  std::vector<json> sorted(rows.begin(), rows.end());
+  std::stable_sort(sorted.begin(), sorted.end(), [fields](const json& a, const json& b) {
+    for (const std::string_view field : fields) {
+      const int order = TextField(a, field).compare(TextField(b, field));
+      if (order != 0) return order < 0;
+    }
+    return false;
+  });
+  return sorted;
+}
+
 exit_code RunHosts(command_context& context, const hosts_options& options) {
   const json_answer answer = Call(context.api, {.path = "/v1/hosts"}, call_kind::kRead);
   if (const auto* error = std::get_if<call_error>(&answer)) return Fail(context, *error);
@@ -39,7 +56,7 @@
   }
   text_table table({"host", "kind", "region", "data centre", "rack", "holder", "term", "taken",
                     "capacity", "running", "state"});
-  for (const json& host : ListField(body, "hosts")) {
+  for (const json& host : Sorted(ListField(body, "hosts"), {"kind", "host"})) {
     const std::string state = StateOf(host);
     if (options.troubled && state == "ok") continue;
     table.Add({TextField(host, "host"), TextField(host, "kind"), TextField(host, "region"),
@@ -62,7 +79,7 @@
     return exit_code::kOk;
   }
   text_table table({"environment", "service", "class", "waiting", "running", "expected wait"});
-  for (const json& queue : ListField(body, "queues")) {
+  for (const json& queue : Sorted(ListField(body, "queues"), {"environment", "service", "class"})) {
     const std::string environment = TextField(queue, "environment");
     if (!options.environment.empty() && environment != options.environment) continue;
     const std::string service = TextField(queue, "service");
--- a/packages/ctl/src/commands/state.cc
+++ b/packages/ctl/src/commands/state.cc
@@ -16,7 +16,9 @@
   }
   if (value.is_array()) {
     for (std::size_t i = 0; i < value.size(); ++i) {
-      Flatten(value[i], path + "[" + std::to_string(i) + "]", table);
+      std::string item = path;
+      item.append("[").append(std::to_string(i)).append("]");
+      Flatten(value[i], item, table);
     }
     return;
   }
--- a/packages/ctl/src/commands/submit.cc
+++ b/packages/ctl/src/commands/submit.cc
@@ -1,3 +1,4 @@
+#include <cmath>
 #include <optional>
 
 #include "commands/commands.h"
@@ -38,7 +39,8 @@
 constexpr std::uint32_t kMaxTasks = 10'000;
 constexpr std::int64_t kMaxMs = 365LL * 86'400'000;
 
-std::int64_t Thousandths(double value) { return static_cast<std::int64_t>(value * 1000 + 0.5); }
+constexpr double kMillisPerCore = 1000;
+constexpr double kMbPerGb = 1024;
 
 // CLI::Range accepts NaN.
 std::string IsSize(const std::string& text) {
@@ -68,8 +70,8 @@
   Override(options.accelerators, job.size.accelerators);
   Override(options.payload, job.payload);
   if (options.kind) job.kind = KindOf(*options.kind);
-  if (options.cores) job.size.cores_milli = Thousandths(*options.cores);
-  if (options.memory_gb) job.size.memory_mb = Thousandths(*options.memory_gb);
+  if (options.cores) job.size.cores_milli = std::llround(*options.cores * kMillisPerCore);
+  if (options.memory_gb) job.size.memory_mb = std::llround(*options.memory_gb * kMbPerGb);
   if (options.run_ms) job.run_time = std::chrono::milliseconds(*options.run_ms);
   if (options.deadline_ms) job.deadline = std::chrono::milliseconds(*options.deadline_ms);
   if (options.not_idempotent) job.idempotent = false;
@@ -168,7 +170,7 @@
   app.add_option("--tasks", options.tasks, "Number of tasks; default: 1")
       ->check(CLI::Range(std::uint32_t{1}, kMaxTasks));
   app.add_option("--cores", options.cores, "Cores of each task")->check(IsSize);
-  app.add_option("--memory-gb", options.memory_gb, "Memory of each task in GB (1000 MB)")
+  app.add_option("--memory-gb", options.memory_gb, "Memory of each task in GB (1024 MB)")
       ->check(IsSize);
   app.add_option("--accelerators", options.accelerators, "Accelerators of each task")
       ->check(CLI::Range(std::int64_t{0}, kMaxAccelerators));
--- a/packages/ctl/src/curl_transport.cc
+++ b/packages/ctl/src/curl_transport.cc
@@ -67,7 +67,10 @@
   add("Expect:");
   for (const auto& [name, value] : request.headers) {
     // curl sends a header without a value only in this form.
-    add(value.empty() ? name + ";" : name + ": " + value);
+    std::string line = name;
+    line += value.empty() ? ";" : ": ";
+    line += value;
+    add(line);
   }
   return headers;
 }
@@ -130,8 +133,8 @@
 
 api_transport CurlTransport() {
   // Not thread-safe, so it runs once, before the first call.
-  static const CURLcode kStarted = curl_global_init(CURL_GLOBAL_DEFAULT);
-  if (kStarted != CURLE_OK) {
+  static const CURLcode started = curl_global_init(CURL_GLOBAL_DEFAULT);
+  if (started != CURLE_OK) {
     return [](std::string_view, const api_request&, duration) {
       return result<api_reply>(errc::kConnectionFailed, std::string(kNeverSent));
     };
--- a/packages/ctl/src/histogram_text.cc
+++ b/packages/ctl/src/histogram_text.cc
@@ -24,7 +24,9 @@
   std::string text;
   for (const auto& [name, value] : labels) {
     if (!text.empty()) text += " ";
-    text += name + "=" + value;
+    text += name;
+    text += "=";
+    text += value;
   }
   return Printable(text);
 }
--- a/packages/ctl/src/json_fields.cc
+++ b/packages/ctl/src/json_fields.cc
@@ -38,15 +38,15 @@
 }
 
 const json& ListField(const json& object, std::string_view key) {
-  static const json kEmpty = json::array();
+  static const json empty = json::array();
   const json* field = Find(object, key);
-  return field != nullptr && field->is_array() ? *field : kEmpty;
+  return field != nullptr && field->is_array() ? *field : empty;
 }
 
 const json& ObjectField(const json& object, std::string_view key) {
-  static const json kEmpty = json::object();
+  static const json empty = json::object();
   const json* field = Find(object, key);
-  return field != nullptr && field->is_object() ? *field : kEmpty;
+  return field != nullptr && field->is_object() ? *field : empty;
 }
 
 std::string JsonText(const json& value) {
--- a/packages/ctl/src/text_table.cc
+++ b/packages/ctl/src/text_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <ctime>
 
 namespace sycamorehinge {
@@ -20,7 +21,9 @@
   return text == "-" || (!text.empty() && text.find_first_not_of("0123456789.") == text.npos);
 }
 
+// At most two decimals: enough for people, and no column grows with a binary fraction.
 std::string ShortNumber(double value) {
+  value = std::round(value * 100) / 100;
   std::array<char, 32> buffer{};
   const auto end = std::to_chars(buffer.begin(), buffer.end(), value);
   return {buffer.begin(), end.ptr};
@@ -81,17 +84,18 @@
 }
 
 std::string SizeText(const resources& size) {
-  constexpr double kThousand = 1000;
+  constexpr double kMillisPerCore = 1000;
+  constexpr double kMbPerGb = 1024;
   std::string text;
   const auto add = [&text](const std::string& number, std::string_view unit) {
     if (!text.empty()) text += ", ";
     text += number + " " + std::string(unit);
   };
   if (size.cores_milli != 0) {
-    add(ShortNumber(static_cast<double>(size.cores_milli) / kThousand), "cores");
+    add(ShortNumber(static_cast<double>(size.cores_milli) / kMillisPerCore), "cores");
   }
   if (size.memory_mb != 0) {
-    add(ShortNumber(static_cast<double>(size.memory_mb) / kThousand), "GB");
+    add(ShortNumber(static_cast<double>(size.memory_mb) / kMbPerGb), "GB");
   }
   if (size.accelerators != 0) add(std::to_string(size.accelerators), "acc");
   if (size.slots != 0) add(std::to_string(size.slots), "slots");
@@ -102,7 +106,7 @@
   constexpr std::int64_t kSecond = 1000;
   constexpr std::int64_t kMinute = 60 * kSecond;
   if (ms < kSecond) return std::to_string(ms) + " ms";
-  if (ms < kMinute) return ShortNumber(static_cast<double>(ms / 100) / 10) + " s";
+  if (ms < kMinute) return ShortNumber(std::floor(static_cast<double>(ms) / 100) / 10) + " s";
   return std::to_string(ms / kMinute) + " min " + std::to_string(ms % kMinute / kSecond) + " s";
 }
 
--- a/packages/settings/src/environment_text.cc
+++ b/packages/settings/src/environment_text.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr std::int64_t kMillisPerCore = 1000;
+constexpr std::int64_t kMbPerGb = 1024;
+
 // Shortest decimal that reads back as the same double, always with the mark of a TOML float.
 std::string FloatText(double value) {
   std::array<char, 32> buffer{};
@@ -36,9 +39,9 @@
   return quoted + "\"";
 }
 
-// Thousandths as a decimal number without a rounding error.
-std::string ThousandthsText(std::int64_t value) {
-  return FloatText(static_cast<double>(value) / 1000);
+// A whole number of small units in large ones; the shortest text reads back as the same number.
+std::string UnitText(std::int64_t small, std::int64_t per_large) {
+  return FloatText(static_cast<double>(small) / static_cast<double>(per_large));
 }
 
 std::string Line(std::string_view key, std::string_view value) {
@@ -51,8 +54,8 @@
 }
 
 std::string QuotaText(const resources& quota) {
-  return "{cores = " + ThousandthsText(quota.cores_milli) +
-         ", memory_gb = " + ThousandthsText(quota.memory_mb) +
+  return "{cores = " + UnitText(quota.cores_milli, kMillisPerCore) +
+         ", memory_gb = " + UnitText(quota.memory_mb, kMbPerGb) +
          ", accelerators = " + std::to_string(quota.accelerators) +
          ", slots = " + std::to_string(quota.slots) + "}";
 }
--- a/packages/settings/src/size_reader.cc
+++ b/packages/settings/src/size_reader.cc
@@ -11,8 +11,8 @@
 constexpr std::int64_t kMaxAccelerators = 1'000'000;
 constexpr std::int64_t kMaxSlots = 10'000'000;
 
-// Thousandths of a unit, so that 0.1 cores become exactly 100.
-std::int64_t Thousandths(double value) { return std::llround(value * 1000); }
+constexpr double kMillisPerCore = 1000;
+constexpr double kMbPerGb = 1024;
 
 }  // namespace
 
@@ -26,8 +26,8 @@
   reader.ReadInteger("accelerators", size.accelerators, 0, kMaxAccelerators);
   reader.ReadInteger("slots", size.slots, 0, kMaxSlots);
   reader.Finish();
-  size.cores_milli = Thousandths(cores);
-  size.memory_mb = Thousandths(memory_gb);
+  size.cores_milli = std::llround(cores * kMillisPerCore);
+  size.memory_mb = std::llround(memory_gb * kMbPerGb);
   return size;
 }
 
--- a/packages/settings/src/size_reader.h
+++ b/packages/settings/src/size_reader.h
@@ -9,7 +9,7 @@
 
 namespace sycamorehinge {
 
-// One GB is 1000 MB, so that decimal sizes stay exact.
+// One GB is 1024 MB, as hosts report their memory.
 resources ReadSize(const toml::table& table, const std::string& path, mistake_list& mistakes);
 
 }  // namespace sycamorehinge
