Decide 'fits nowhere' by the hosts of all processes; ask peers for room at least every 2 s

Cause: a pool refused work that no host of its own process could hold. Change: heartbeats carry the largest host of each pool, and the pool counts those hosts too. The gap between questions is at most 2 s, since urgent work must start within 2.3 s.

--- a/packages/core/include/sycamorehinge/core/membership.h
+++ b/packages/core/include/sycamorehinge/core/membership.h
@@ -24,6 +24,7 @@
   service_id service;
   resources free;
   resources largest_free;
+  resources largest_host;
   duration expected_wait{};
 };
 
--- a/packages/core/include/sycamorehinge/core/pool.h
+++ b/packages/core/include/sycamorehinge/core/pool.h
@@ -106,12 +106,17 @@
 struct rules_changed {
   std::shared_ptr<const environment_document> document;
 };
+// Largest host of the pools of all other processes: work that fits there fits somewhere.
+struct room_elsewhere {
+  resources largest_host;
+};
 // Passing of time: expires deadlines and holds, preempts, probes ejected hosts.
 struct pool_tick {};
 
-using pool_event = std::variant<host_claimed, host_leaving, host_released, usage_reported,
-                                work_offered, work_withdrawn, work_finished, hold_requested,
-                                hold_confirmed, hold_released, rules_changed, pool_tick>;
+using pool_event =
+    std::variant<host_claimed, host_leaving, host_released, usage_reported, work_offered,
+                 work_withdrawn, work_finished, hold_requested, hold_confirmed, hold_released,
+                 rules_changed, room_elsewhere, pool_tick>;
 
 // Room is reserved; one placement for each task of the item. The room stays taken until
 // work_finished (or hold_released) for each task.
@@ -181,6 +186,8 @@
   resources taken;
   // Largest size on each axis that some host has free, for coarse routing.
   resources largest_free;
+  // Largest capacity of a host on each axis.
+  resources largest_host;
   std::vector<class_summary> classes;
 };
 
--- a/packages/core/src/pool_hosts.cc
+++ b/packages/core/src/pool_hosts.cc
@@ -40,7 +40,12 @@
   if (found->second == 0) shapes.erase(found);
 }
 
+void pool::state::On(const room_elsewhere& event, time_point, std::vector<pool_action>&) {
+  elsewhere = event.largest_host;
+}
+
 bool pool::state::SomeHostCouldHold(const resources& size) const {
+  if (elsewhere.Holds(size)) return true;
   return std::any_of(shapes.begin(), shapes.end(),
                      [&size](const auto& shape) { return shape.first.Holds(size); });
 }
--- a/packages/core/src/pool_state.h
+++ b/packages/core/src/pool_state.h
@@ -57,6 +57,7 @@
   void On(const hold_confirmed& event, time_point now, std::vector<pool_action>& out);
   void On(const hold_released& event, time_point now, std::vector<pool_action>& out);
   void On(const rules_changed& event, time_point now, std::vector<pool_action>& out);
+  void On(const room_elsewhere& event, time_point now, std::vector<pool_action>& out);
   void On(const pool_tick& event, time_point now, std::vector<pool_action>& out);
 
   // Hosts, in pool_hosts.cc.
@@ -146,6 +147,8 @@
 
   // Capacities of claimed hosts and how many hosts have each.
   std::vector<std::pair<resources, int>> shapes;
+  // Largest host of other processes; the zero value if none is known.
+  resources elsewhere;
   std::vector<host_drain> drains;
   std::vector<std::uint8_t> drained;
   // Gangs whose drain starts when the current one ends, and their generations.
--- a/packages/core/src/pool_summary.cc
+++ b/packages/core/src/pool_summary.cc
@@ -42,6 +42,9 @@
   summary.largest_free =
       Larger(resources(), Larger(state_->index.LargestFree(host_group::kPlain),
                                  state_->index.LargestFree(host_group::kAccelerator)));
+  for (const auto& [shape, count] : state_->shapes) {
+    summary.largest_host = Larger(summary.largest_host, shape);
+  }
   const std::span<const class_standing> classes = state_->shares.Classes();
   for (class_index c = 0; c < classes.size(); ++c) {
     const class_standing& standing = classes[c];
--- a/packages/core/src/pool_timers.cc
+++ b/packages/core/src/pool_timers.cc
@@ -6,9 +6,10 @@
 
 namespace {
 
-// Peers are asked again after 8 times the previous wait, at most every 20 s.
+// Peers are asked again after 8 times the previous wait, at most every 2 s: urgent work must start
+// within 2.3 s, also where only a peer has room.
 constexpr int kOverflowFactor = 8;
-constexpr duration kMaxOverflowGap = std::chrono::seconds(20);
+constexpr duration kMaxOverflowGap = std::chrono::seconds(2);
 // Hosts are claimed one by one, so work that no known host could hold is refused only after the
 // claims of a start or takeover have been made.
 constexpr duration kFitsNowhereAfter = std::chrono::seconds(10);
--- a/packages/node/src/entry_node.cc
+++ b/packages/node/src/entry_node.cc
@@ -35,6 +35,7 @@
   p.claims.Tick(now);
   p.partitions.Tick(now);
   p.alive.Tick(now);
+  p.pools.LearnPeers(p.alive.Alive());
   p.peers.Tick(now);
   for (const keyed_call& late : p.keyed_calls.TakeExpired(now)) {
     request_answer answer;
--- a/packages/node/src/pool_set.cc
+++ b/packages/node/src/pool_set.cc
@@ -124,8 +124,30 @@
   }
 }
 
-void pool_set::Tick() {
-  for (pool_shard* shard : Shards()) Apply(*shard, pool_tick{}, std::nullopt);
+void pool_set::LearnPeers(std::span<const process_status> alive) {
+  std::map<pool_key, resources> largest;
+  for (const process_status& status : alive) {
+    if (status.process == parts_.options.self) continue;
+    for (const pool_load& load : status.loads) {
+      resources& known = largest[{load.environment, load.service}];
+      known = {std::max(known.cores_milli, load.largest_host.cores_milli),
+               std::max(known.memory_mb, load.largest_host.memory_mb),
+               std::max(known.accelerators, load.largest_host.accelerators),
+               std::max(known.slots, load.largest_host.slots)};
+    }
+  }
+  for (pool_shard* shard : Shards()) {
+    bool changed = false;
+    resources known;
+    shard->Apply(
+        [&](pool_state& s, std::vector<delivery>&) {
+          known = largest[s.key];
+          changed = known != s.elsewhere;
+          s.elsewhere = known;
+        },
+        [](delivery&) {});
+    if (changed) Apply(*shard, room_elsewhere{known}, std::nullopt);
+  }
 }
 
 void pool_set::Deliver(const pool_key& key, delivery& item) {
--- a/packages/node/src/pool_set.h
+++ b/packages/node/src/pool_set.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -40,7 +41,8 @@
   void Hold(const pool_key& key, work_item item, duration hold_time, peer_hold owner);
   void Handle(const pool_key& key, const pool_event& event);
   void RulesChanged(const std::shared_ptr<const environment_document>& document);
-  void Tick();
+  // Notes the largest hosts of other processes.
+  void LearnPeers(std::span<const process_status> alive);
 
   std::vector<pool_load> Loads() const;
   std::vector<std::pair<pool_load, pool_summary>> Summaries() const;
@@ -56,6 +58,7 @@
     std::unordered_map<attempt_id, work_owner> owners;
     std::vector<pool_action> actions;
     time_point tick_at = time_point::max();
+    resources elsewhere;
   };
   // An action with the owner of its item; a preemption has none.
   struct delivery {
--- a/packages/wire/src/core_fields.h
+++ b/packages/wire/src/core_fields.h
@@ -78,7 +78,7 @@
 template <class Archive>
 void serialize(Archive& archive, pool_load& value) {
   Fields(archive, value.environment, value.service, value.free, value.largest_free,
-         value.expected_wait);
+         value.largest_host, value.expected_wait);
 }
 template <class Archive>
 void serialize(Archive& archive, process_status& value) {
--- a/packages/wire/tests/samples.h
+++ b/packages/wire/tests/samples.h
@@ -87,8 +87,14 @@
   status.config_version = 17;
   status.ready = true;
   status.partitions = {{3, 120}, {9, 121}};
-  status.loads = {{{"payouts"}, {"confirm"}, {0, 0, 0, 320}, {0, 0, 0, 8}, duration(1500)},
-                  {{"payouts"}, {}, {900'000, 2'000'000, 0, 0}, {30'000, 130'000, 0, 0}, {}}};
+  status.loads = {
+      {{"payouts"}, {"confirm"}, {0, 0, 0, 320}, {0, 0, 0, 8}, {0, 0, 0, 8}, duration(1500)},
+      {{"payouts"},
+       {},
+       {900'000, 2'000'000, 0, 0},
+       {30'000, 130'000, 0, 0},
+       {30'000, 130'000, 2, 0},
+       {}}};
   return status;
 }
 
