--- a/packages/core/include/sycamorehinge/core/pool.h
+++ b/packages/core/include/sycamorehinge/core/pool.h
@@ -79,6 +79,8 @@
 struct work_offered {
   work_item item;
 };
+// Takes waiting work out of the queue, without an action. Room that the attempt already has stays
+// taken until work_finished or hold_released.
 struct work_withdrawn {
   attempt_id id;
 };
@@ -90,12 +92,14 @@
   // Time on the host.
   duration ran{};
 };
-// A peer asks for room at once, without waiting. Answered by work_placed or work_refused.
+// A peer asks for room at once, without waiting. Answered by work_placed or work_refused; an
+// attempt that already waits or has room here is refused.
 struct hold_requested {
   work_item item;
   duration hold_time{};
 };
-// The held work will start: the hold no longer expires.
+// The held work will start: the hold no longer expires. Ignored after the hold has expired; see
+// pool::PlaceOf. Each task of a gang is confirmed by its own id.
 struct hold_confirmed {
   attempt_id id;
 };
@@ -154,6 +158,8 @@
   // Wait of work below its guaranteed share after which preemptible work is stopped.
   duration preempt_after = std::chrono::milliseconds(200);
   bool eject_failing_hosts = true;
+  // Most items that wait at once; bounds memory while no host is claimed and waits are unknown.
+  std::uint32_t max_waiting = 20'000;
   std::uint64_t seed = 1;
 };
 
@@ -194,7 +200,8 @@
   // Applies one event and appends the actions it causes.
   void Handle(const pool_event& event, time_point now, std::vector<pool_action>& out);
 
-  // Earliest time at which a pool_tick would do something; time_point::max() if none.
+  // Earliest time at which a pool_tick would do something; time_point::max() if none. It may be
+  // in the past: one tick does a bounded amount of work.
   time_point NextTick() const;
 
   pool_summary Summary() const;
--- a/packages/core/src/pool.cc
+++ b/packages/core/src/pool.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr duration kNoRoomRetry = std::chrono::milliseconds(10);
+constexpr duration kQueueFullRetry = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -29,6 +30,10 @@
     Place(entry, now, duration(0), out);
     return;
   }
+  if (queue.Size() >= options.max_waiting) {
+    out.emplace_back(work_refused{id, errc::kOverloaded, kQueueFullRetry});
+    return;
+  }
   const admission_verdict verdict =
       admit.Check(entry.item, entry.work_class, entry.tenant, now, shares);
   if (verdict.code != errc::kOk) {
--- a/packages/core/src/pool_dispatch.cc
+++ b/packages/core/src/pool_dispatch.cc
@@ -113,8 +113,7 @@
   request.count = entry.item.count;
   request.use_drained = !drains.empty() && MayUseDrained(entry, now);
   if (!request.use_drained && IsKnownNotToFit(entry)) return false;
-  // With no more hosts than avoided ones, one of them is better than none.
-  if (entry.avoid.size() < index.Size()) request.avoid = entry.avoid;
+  request.avoid = entry.avoid;
   const placement_rules rule = rules ? rules->placement : placement_rules{};
   const placement_name name = options.placement.value_or(RuleFor(entry.item.kind, rule));
   if (ChooseHosts(PolicyByName(name), request, index, random, chosen)) return true;
@@ -203,11 +202,24 @@
   entry.enqueued = now;
   entry.next_overflow = now + options.overflow_after;
   entry.next_preempt = now + options.preempt_after;
+  entry.avoid = HostsToAvoid(entry.item);
+  return entry;
+}
+
+// If no other available host could hold the work, a host that it failed on is better than none.
+std::vector<host_slot> pool::state::HostsToAvoid(const work_item& item) const {
+  std::vector<host_slot> avoid;
   for (const host_id& host : item.avoid) {
     const host_slot slot = ledger.FindHost(host);
-    if (slot != kNoSlot) entry.avoid.push_back(slot);
+    if (slot != kNoSlot) avoid.push_back(slot);
   }
-  return entry;
+  if (avoid.empty()) return avoid;
+  for (host_slot host = 0; host < index.Size(); ++host) {
+    const indexed_host& at = index.At(host);
+    if (at.group == host_group::kUnavailable || !at.capacity.Holds(item.size)) continue;
+    if (std::find(avoid.begin(), avoid.end(), host) == avoid.end()) return avoid;
+  }
+  return {};
 }
 
 errc pool::state::CheckOffer(const queue_item& entry, time_point now) const {
--- a/packages/core/src/pool_state.h
+++ b/packages/core/src/pool_state.h
@@ -85,6 +85,7 @@
   bool TryQueued(queue_slot slot, time_point now, std::vector<pool_action>& out);
   void Dispatch(time_point now, std::vector<pool_action>& out);
   queue_item EntryOf(const work_item& item, time_point now);
+  std::vector<host_slot> HostsToAvoid(const work_item& item) const;
   errc CheckOffer(const queue_item& entry, time_point now) const;
   void Enqueue(queue_item entry, time_point now);
   void Dequeue(queue_slot slot);
--- a/packages/core/src/pool_timers.cc
+++ b/packages/core/src/pool_timers.cc
@@ -41,6 +41,8 @@
     return;
   }
   out.emplace_back(overflow_wanted{entry.item, waited});
+  // Hosts may have left since the work was offered.
+  if (!entry.avoid.empty()) entry.avoid = HostsToAvoid(entry.item);
   const duration gap = std::max(options.overflow_after, waited * (kOverflowFactor - 1));
   entry.next_overflow = now + std::clamp(gap, duration(1000), kMaxOverflowGap);
   timers.Push({entry.next_overflow, timer_kind::kOverflow, slot, entry.generation});
--- a/packages/core/src/simulated_pool.h
+++ b/packages/core/src/simulated_pool.h
@@ -4,11 +4,10 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <queue>
-#include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "sycamorehinge/core/pool.h"
@@ -46,7 +45,7 @@
   const pool& Target() const { return target_; }
   time_point Now() const { return now_; }
   simulated_class& Class(const class_id& name) { return classes_[name]; }
-  const std::map<host_id, std::uint64_t>& Starts() const { return starts_; }
+  const std::unordered_map<host_id, std::uint64_t>& Starts() const { return starts_; }
   std::uint64_t AllStarts() const { return all_starts_; }
   std::size_t Running() const { return running_.size(); }
 
@@ -88,9 +87,9 @@
   std::unordered_map<attempt_id, class_id> waiting_class_;
   std::unordered_map<attempt_id, running_task> running_;
   std::priority_queue<finish> finishes_;
-  std::map<class_id, simulated_class> classes_;
-  std::set<host_id> failing_;
-  std::map<host_id, std::uint64_t> starts_;
+  std::unordered_map<class_id, simulated_class> classes_;
+  std::unordered_set<host_id> failing_;
+  std::unordered_map<host_id, std::uint64_t> starts_;
   std::uint64_t all_starts_ = 0;
   std::uint64_t sequence_ = 0;
 };
--- a/packages/core/tests/pool_test.cc
+++ b/packages/core/tests/pool_test.cc
@@ -1,6 +1,7 @@
 #include "sycamorehinge/core/pool.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "pool_fixture.h"
 
@@ -212,6 +213,114 @@
   CHECK(placed);
 }
 
+// Guards against gangs of a class below its share that wait for borrowed room without end.
+TEST_CASE("Work is preempted for a gang below its class's share") {
+  pool_driver pool;
+  pool.Rules({Class("gangs", 0.5, 9), Class("batch", 0.5, 1)});
+  for (int host = 0; host < 8; ++host) pool.Claim("h" + std::to_string(host), Cores(4));
+  std::map<std::uint64_t, std::string> hosts;
+  for (std::uint64_t job = 1; job <= 32; ++job) {
+    work_item item = Item(job, Cores(1));
+    item.preemptible = true;
+    item.run_time = std::chrono::hours(9);
+    pool.Send(work_offered{item});
+    REQUIRE(pool.Placed() == jobs{job});
+    hosts[job] = pool.Of<work_placed>().front().places.front().host.value;
+  }
+  work_item gang = Item(100, Cores(4), "gangs");
+  gang.kind = work_kind::kGang;
+  gang.count = 3;
+  pool.Send(work_offered{gang});
+  std::vector<std::uint64_t> preempted;
+  bool placed = false;
+  for (int step = 1; step <= 100 && !placed; ++step) {
+    pool.Tick(std::int64_t{step} * 10);
+    for (const preemption_wanted& wanted : pool.Of<preemption_wanted>()) {
+      preempted.push_back(wanted.id.task.job.number);
+    }
+    placed = pool.Placed() == jobs{100};
+    if (preempted.empty()) continue;
+    pool.Finish(preempted.back(), hosts[preempted.back()], finish_kind::kPreempted);
+    preempted.pop_back();
+    placed = placed || pool.Placed() == jobs{100};
+  }
+  CHECK(placed);
+  CHECK(pool.target.Summary().taken == Cores(32));
+}
+
+// Guards against a retry on the host that just failed it, and against waiting for a host that
+// does not exist.
+TEST_CASE("Hosts to avoid are avoided while another host could do the work") {
+  pool_driver pool;
+  pool.Claim("h1", Cores(4));
+  pool.Claim("h2", Cores(2));
+  work_item item = Item(1, Cores(2));
+  item.avoid = {{"h1"}};
+  pool.Send(work_offered{item});
+  CHECK(pool.Of<work_placed>().front().places.front().host.value == "h2");
+  item.id = Id(2);
+  pool.Send(work_offered{item});
+  CHECK(pool.actions.empty());
+  item.id = Id(3);
+  item.size = Cores(3);
+  pool.Send(work_offered{item});
+  CHECK(pool.Placed() == jobs{3});
+}
+
+// Guards against large work that starves because small work takes every bit of freed room.
+TEST_CASE("Large work of a class is not starved by small work") {
+  pool_driver pool;
+  pool.Rules({Class("batch", 1, 1)});
+  for (int host = 0; host < 4; ++host) pool.Claim("h" + std::to_string(host), Cores(4));
+  std::vector<std::pair<std::uint64_t, std::string>> running;
+  bool large = false;
+  const auto collect = [&] {
+    for (const work_placed& placed : pool.Of<work_placed>()) {
+      const std::uint64_t job = placed.item.id.task.job.number;
+      large = large || job == 1;
+      running.emplace_back(job, placed.places.front().host.value);
+    }
+  };
+  std::uint64_t next = 100;
+  for (; next < 116; ++next) {
+    pool.Send(work_offered{Item(next, Cores(1))});
+    collect();
+  }
+  pool.Send(work_offered{Item(1, Cores(4))});
+  for (int step = 1; step < 1000 && !large; ++step) {
+    pool.Tick(std::int64_t{step} * 10);
+    collect();
+    pool.Finish(running.front().first, running.front().second);
+    running.erase(running.begin());
+    collect();
+    pool.Send(work_offered{Item(next++, Cores(1))});
+    collect();
+  }
+  CHECK(large);
+}
+
+// Guards against memory that grows without bound while no host is claimed.
+TEST_CASE("The number of waiting items is bounded") {
+  pool_options options;
+  options.max_waiting = 3;
+  pool_driver pool(options);
+  for (std::uint64_t job = 1; job <= 4; ++job) pool.Send(work_offered{Item(job, Cores(1))});
+  CHECK(pool.Refused() == errc::kOverloaded);
+}
+
+// Guards against usage above the declared size that lets more work onto a full host.
+TEST_CASE("Reported usage above the declared size takes room") {
+  pool_driver pool;
+  pool.Claim("h1", Cores(4, 1000));
+  pool.Send(work_offered{Item(1, Cores(1, 100))});
+  pool.Send(usage_reported{{"h1"}, Id(1), Cores(1, 950)});
+  pool.Send(work_offered{Item(2, Cores(1, 100))});
+  CHECK(pool.actions.empty());
+  pool.Send(usage_reported{{"h1"}, Id(1), Cores(1, 50)});
+  CHECK(pool.Placed() == jobs{2});
+  CHECK(pool.target.Summary().taken == Cores(2, 200));
+}
+
 // Guards against an explanation that is missing or names the wrong obstacle.
 TEST_CASE("The pool explains why work waits") {
   pool_driver pool;
