--- a/packages/core/src/pool_hosts.cc
+++ b/packages/core/src/pool_hosts.cc
@@ -64,9 +64,25 @@
   }
 }
 
+namespace {
+
+// Claims are renewed every 700 ms for each host; most renewals change nothing.
+bool IsPlainRenewal(const host_claimed& event, const room_host& host) {
+  return event.term == host.term && event.capacity == host.capacity &&
+         event.leaving == host.leaving && event.where == host.where;
+}
+
+}  // namespace
+
 void pool::state::On(const host_claimed& event, time_point now, std::vector<pool_action>& out) {
   const host_slot known = ledger.FindHost(event.host);
   const bool was_claimed = known != kNoSlot && ledger.Host(known).claimed;
+  if (was_claimed && IsPlainRenewal(event, ledger.Host(known))) {
+    const std::uint32_t running = ledger.Host(known).running;
+    AdoptRunning(known, event.running, now);
+    if (ledger.Host(known).running != running) index.SetFree(known, ledger.Free(known));
+    return;
+  }
   if (was_claimed) CountCapacity(ledger.Host(known).capacity, -1);
   dropped.clear();
   const host_slot host =
--- a/packages/core/tests/pool_test.cc
+++ b/packages/core/tests/pool_test.cc
@@ -121,10 +121,17 @@
   pool.Tick(5);
   CHECK(pool.Of<overflow_wanted>().size() == 1);
   CHECK(pool.target.NextTick() == At(40));
+  work_item later = Item(3, Cores(1));
+  later.deadline = At(150);
+  pool.Send(work_offered{later});
   pool.Tick(100);
   CHECK(pool.Refused() == errc::kDeadlinePassed);
+  // Room that is freed after a deadline but before the tick is of no use.
+  pool.now = At(150);
   pool.Finish(1, "h1");
   CHECK(pool.Placed().empty());
+  pool.Tick(150);
+  CHECK(pool.Refused() == errc::kDeadlinePassed);
   CHECK(pool.target.NextTick() == time_point::max());
 }
 
