--- a/packages/core/bench/measure_overload.cc
+++ b/packages/core/bench/measure_overload.cc
@@ -1,5 +1,7 @@
 // Waits, shares and useful work while one class offers ten times its work.
 #include <algorithm>
+#include <span>
+#include <string>
 
 #include "measure.h"
 
@@ -101,10 +103,10 @@
   return counts.held / (kCores * 1000 * static_cast<double>(counted.count()));
 }
 
-std::vector<class_load> ShareLoads() {
-  return {{"urgent", 0.2, 0.2, 0.5, 2, true},
-          {"normal", 0.35, 0.35, 1, 4, true},
-          {"batch", 0.45, 0.45, 2, 4, true}};
+std::vector<class_load> ShareLoads(bool preemptible) {
+  return {{"urgent", 0.2, 0.2, 0.5, 2, preemptible},
+          {"normal", 0.35, 0.35, 1, 4, preemptible},
+          {"batch", 0.45, 0.45, 2, 4, preemptible}};
 }
 
 struct share_result {
@@ -127,6 +129,26 @@
   return result;
 }
 
+void MeasureLoads(const measure_options& options, std::span<const class_load> normal,
+                  const std::string& scenario) {
+  const duration length = std::chrono::seconds(options.seconds);
+  for (const pool_variant& variant : PoolVariants()) {
+    const share_result before = RunShares(variant.options, normal, options.seed, length);
+    Print(scenario, variant.name, "useful_normal", before.useful, "share");
+    for (std::size_t over = 0; over < normal.size(); ++over) {
+      std::vector<class_load> loads(normal.begin(), normal.end());
+      loads[over].load *= 10;
+      const share_result after = RunShares(variant.options, loads, options.seed, length);
+      const std::string overload = scenario + ".over_" + std::string(loads[over].name);
+      for (std::size_t c = 0; c < loads.size(); ++c) {
+        Print(overload, variant.name, std::string("kept_").append(loads[c].name),
+              after.held[c] / before.held[c], "ratio");
+      }
+      Print(overload, variant.name, "useful", after.useful, "share");
+    }
+  }
+}
+
 }  // namespace
 
 void MeasureUrgentWait(const measure_options& options) {
@@ -152,23 +174,9 @@
 }
 
 void MeasureShares(const measure_options& options) {
-  const duration length = std::chrono::seconds(options.seconds);
-  for (const pool_variant& variant : PoolVariants()) {
-    const std::vector<class_load> normal = ShareLoads();
-    const share_result before = RunShares(variant.options, normal, options.seed, length);
-    Print("shares", variant.name, "useful_normal", before.useful, "share");
-    for (std::size_t over = 0; over < normal.size(); ++over) {
-      std::vector<class_load> loads = normal;
-      loads[over].load *= 10;
-      const share_result after = RunShares(variant.options, loads, options.seed, length);
-      const std::string scenario = "shares.over_" + std::string(loads[over].name);
-      for (std::size_t c = 0; c < loads.size(); ++c) {
-        Print(scenario, variant.name, std::string("kept_") + std::string(loads[c].name),
-              after.held[c] / before.held[c], "ratio");
-      }
-      Print(scenario, variant.name, "useful", after.useful, "share");
-    }
-  }
+  MeasureLoads(options, ShareLoads(true), "shares");
+  // Without preemption no class may borrow, so each can only use its own share.
+  MeasureLoads(options, ShareLoads(false), "shares_fixed");
 }
 
 void MeasureEjection(const measure_options& options) {
