--- a/packages/core/src/partition.cc
+++ b/packages/core/src/partition.cc
@@ -176,8 +176,8 @@
   return last_sequence;
 }
 
-void partition::state::Defer(std::uint64_t sequence, deferred_action action) {
-  deferred.emplace(sequence, std::move(action));
+void partition::state::Defer(std::uint64_t sequence, const deferred_action& action) {
+  deferred.emplace(sequence, action);
 }
 
 void partition::state::RunDeferred() {
--- a/packages/core/src/partition_state.h
+++ b/packages/core/src/partition_state.h
@@ -119,8 +119,8 @@
 using deferred_action = std::variant<deferred_start, deferred_keep, deferred_run, deferred_reply>;
 
 struct partition::state {
-  state(partition_number number_, process_id self_, partition_options options_)
-      : number(number_), self(std::move(self_)), options(options_) {}
+  state(partition_number home, process_id process, partition_options settings)
+      : number(home), self(std::move(process)), options(settings) {}
 
   using actions = std::vector<partition_action>;
 
@@ -136,7 +136,7 @@
   // Applies the record to the ledger and emits it; returns its sequence.
   std::uint64_t Emit(partition_record record);
   std::uint64_t EmitUnapplied(partition_record record);
-  void Defer(std::uint64_t sequence, deferred_action action);
+  void Defer(std::uint64_t sequence, const deferred_action& action);
   void RunDeferred();
   void ReplyError(call_number call, errc code, std::string_view detail = {});
   void SetTimer(time_point at, timer_kind kind, const attempt_id& id);
--- a/packages/core/tests/config_order_test.cc
+++ b/packages/core/tests/config_order_test.cc
@@ -8,10 +8,10 @@
 namespace sycamorehinge {
 namespace {
 
-const config_key kKey{{"payouts"}, stage_name::kProduction};
+config_key Key() { return {{"payouts"}, stage_name::kProduction}; }
 
 config_record Proposal(std::uint64_t base, std::string author) {
-  return {kKey.environment, kKey.stage, base, 0, std::move(author), "text", 0};
+  return {Key().environment, Key().stage, base, 0, std::move(author), "text", 0};
 }
 
 // Guards against two operators who both believe that their change is in force.
@@ -24,7 +24,7 @@
   CHECK(lost.in_force.version == 2);
   CHECK(lost.in_force.author == "ben");
   CHECK(order.Apply(2, Proposal(2, "ben")).verdict == config_verdict::kStale);
-  CHECK(order.History(kKey).front().version == 2);
+  CHECK(order.History(Key()).front().version == 2);
   CHECK(order.NextOffset() == 4);
 }
 
@@ -34,10 +34,10 @@
   config_record restated = Proposal(0, "ann");
   restated.restated_version = 5;
   CHECK(late.Apply(9, restated).verdict == config_verdict::kRestated);
-  CHECK(late.InForce(kKey)->version == 5);
+  CHECK(late.InForce(Key())->version == 5);
   CHECK(late.Apply(10, Proposal(5, "ben")).verdict == config_verdict::kAccepted);
   CHECK(late.Apply(11, restated).verdict == config_verdict::kStale);
-  CHECK(late.InForce(kKey)->version == 10);
+  CHECK(late.InForce(Key())->version == 10);
   restated.restated_version = 12;
   CHECK(late.Apply(12, restated).verdict == config_verdict::kStale);
 }
@@ -50,7 +50,7 @@
     config_order lagging;
     std::uint64_t seen = 0;
     for (std::uint64_t offset = 1; offset <= 200; ++offset) {
-      const config_version* now = full.InForce(kKey);
+      const config_version* now = full.InForce(Key());
       const std::uint64_t in_force = now == nullptr ? 0 : now->version;
       config_record record = Proposal(random() % 3 == 0 ? random() % offset : in_force, "a");
       if (random() % 8 == 0 && in_force != 0) record.restated_version = in_force;
@@ -58,13 +58,13 @@
       const bool missed = random() % 4 == 0;
       if (!missed && lagging.NextOffset() == offset) lagging.Apply(offset, record);
       if (random() % 4 == 0) lagging.Merge(full.All(), full.NextOffset());
-      const config_version* version = lagging.InForce(kKey);
+      const config_version* version = lagging.InForce(Key());
       if (version == nullptr) continue;
       RC_ASSERT(version->version >= seen);
       seen = version->version;
     }
     lagging.Merge(full.All(), full.NextOffset());
-    RC_ASSERT(lagging.InForce(kKey)->version == full.InForce(kKey)->version);
+    RC_ASSERT(lagging.InForce(Key())->version == full.InForce(Key())->version);
     RC_ASSERT(lagging.NewestVersion() == full.NewestVersion());
   }));
 }
--- a/packages/core/tests/partition_test.cc
+++ b/packages/core/tests/partition_test.cc
@@ -2,13 +2,14 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <optional>
 
 namespace sycamorehinge {
 namespace {
 
 using std::chrono::seconds;
 
-const process_id kHolder{"holder"};
+process_id Holder() { return {"holder"}; }
 
 // One owner whose records become durable only when the test says so.
 class owner_fixture {
@@ -42,13 +43,13 @@
   // Submits a job of one task and starts its first attempt on `host`.
   attempt_id Start(const job_spec& spec, const host_id& host = {"a"}) {
     const attempt_id id = Want(Handle(submit_requested{++call, spec, 0}));
-    Handle(room_reserved{id, kHolder, {{host, 5}}});
+    Handle(room_reserved{id, Holder(), {{host, 5}}});
     Durable();
     return id;
   }
   std::vector<partition_action> Fact(const attempt_id& id, attempt_fact fact,
                                      std::uint64_t term = 5, const host_id& host = {}) {
-    return Handle(attempt_reported{id, host, term, kHolder, fact});
+    return Handle(attempt_reported{id, host, term, Holder(), fact});
   }
   std::vector<partition_action> Request(const std::string& key, std::uint64_t body = 1,
                                         time_point deadline = time_point::max()) {
@@ -77,26 +78,24 @@
 };
 
 template <class Effect>
-const Effect* Find(const std::vector<partition_action>& actions) {
+std::optional<Effect> Find(const std::vector<partition_action>& actions) {
   for (const partition_action& action : actions) {
-    if (const auto* effect = std::get_if<Effect>(&action.effect)) return effect;
+    if (const auto* effect = std::get_if<Effect>(&action.effect)) return *effect;
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 template <class Record>
-const Record* FindRecord(const std::vector<partition_action>& actions) {
-  for (const partition_action& action : actions) {
+bool HasRecord(const std::vector<partition_action>& actions) {
+  return std::any_of(actions.begin(), actions.end(), [](const partition_action& action) {
     const auto* emit = std::get_if<emit_record>(&action.effect);
-    if (emit == nullptr) continue;
-    if (const auto* record = std::get_if<Record>(&emit->record)) return record;
-  }
-  return nullptr;
+    return emit != nullptr && std::holds_alternative<Record>(emit->record);
+  });
 }
 
 errc ErrorOf(const std::vector<partition_action>& actions) {
-  const auto* error = Find<reply_error>(actions);
-  return error == nullptr ? errc::kOk : error->code;
+  const auto error = Find<reply_error>(actions);
+  return !error ? errc::kOk : error->code;
 }
 
 job_spec Spec(std::string key = {}) {
@@ -110,15 +109,15 @@
 TEST_CASE("Answers and starts wait for their record, the search for room does not") {
   owner_fixture owner;
   const auto submitted = owner.Handle(submit_requested{7, Spec(), 0});
-  CHECK(Find<reply_job>(submitted) == nullptr);
+  CHECK_FALSE(Find<reply_job>(submitted));
   const attempt_id id = owner.Want(submitted);
-  const auto placed = owner.Handle(room_reserved{id, kHolder, {{{"a"}, 5}}});
-  CHECK(FindRecord<attempt_assigned>(placed) != nullptr);
-  CHECK(Find<start_attempt>(placed) == nullptr);
+  const auto placed = owner.Handle(room_reserved{id, Holder(), {{{"a"}, 5}}});
+  CHECK(HasRecord<attempt_assigned>(placed));
+  CHECK_FALSE(Find<start_attempt>(placed));
   const auto durable = owner.Durable();
-  REQUIRE(Find<reply_job>(durable) != nullptr);
+  REQUIRE(Find<reply_job>(durable));
   CHECK(Find<reply_job>(durable)->call == 7);
-  CHECK(Find<start_attempt>(durable) != nullptr);
+  CHECK(Find<start_attempt>(durable));
 }
 
 // Guards against a second job for a retried submission.
@@ -126,9 +125,9 @@
   owner_fixture owner;
   const attempt_id id = owner.Start(Spec("k"));
   const auto again = owner.Handle(submit_requested{8, Spec("k"), 0});
-  REQUIRE(Find<reply_job>(again) != nullptr);
+  REQUIRE(Find<reply_job>(again));
   CHECK(Find<reply_job>(again)->job == id.task.job);
-  CHECK(Find<want_room>(again) == nullptr);
+  CHECK_FALSE(Find<want_room>(again));
   job_spec other = Spec("k");
   other.payload = "x";
   CHECK(ErrorOf(owner.Handle(submit_requested{9, other, 0})) == errc::kKeyReused);
@@ -141,7 +140,7 @@
   owner.Request("waiting");
   const auto down = owner.Handle(log_availability{false});
   CHECK(ErrorOf(down) == errc::kOutcomeUnknown);
-  CHECK(Find<withdraw_room>(down) != nullptr);
+  CHECK(Find<withdraw_room>(down));
   const auto refused = owner.Handle(submit_requested{3, Spec("new"), 0});
   CHECK(ErrorOf(refused) == errc::kLogUnavailable);
   CHECK(refused.size() == 1);
@@ -153,17 +152,17 @@
 TEST_CASE("Loss counts only under the recorded term, and a keep waits for the adoption") {
   owner_fixture owner;
   const attempt_id id = owner.Start(Spec());
-  CHECK(Find<keep_attempt>(owner.Fact(id, attempt_fact::kRunning)) != nullptr);
+  CHECK(Find<keep_attempt>(owner.Fact(id, attempt_fact::kRunning)));
   const auto adopted = owner.Fact(id, attempt_fact::kRunning, 6);
-  CHECK(FindRecord<attempt_adopted>(adopted) != nullptr);
-  CHECK(Find<keep_attempt>(adopted) == nullptr);
-  const auto* keep = Find<keep_attempt>(owner.Durable());
-  REQUIRE(keep != nullptr);
+  CHECK(HasRecord<attempt_adopted>(adopted));
+  CHECK_FALSE(Find<keep_attempt>(adopted));
+  const auto keep = Find<keep_attempt>(owner.Durable());
+  REQUIRE(keep);
   CHECK(keep->term == 6);
   CHECK(owner.Fact(id, attempt_fact::kRunning, 5).empty());
   CHECK(owner.Handle(attempt_lost{id, 5}).empty());
   const auto lost = owner.Handle(attempt_lost{id, 6});
-  REQUIRE(FindRecord<attempt_closed>(lost) != nullptr);
+  REQUIRE(HasRecord<attempt_closed>(lost));
   CHECK(owner.Want(lost).number == 2);
   // The new attempt may not even be placed before the loss is durable.
   CHECK(lost.back().after_sequence == owner.last);
@@ -175,13 +174,13 @@
   const attempt_id id = owner.Start(Spec());
   owner.Fact(id, attempt_fact::kRunning);
   owner.Tick(seconds(20));
-  CHECK(FindRecord<attempt_suspected>(owner.Tick(seconds(40))) != nullptr);
+  CHECK(HasRecord<attempt_suspected>(owner.Tick(seconds(40))));
   for (int i = 0; i < 70; ++i) {
     const auto quiet = owner.Tick(seconds(1));
-    CHECK(Find<void_attempt>(quiet) == nullptr);
-    CHECK(FindRecord<attempt_closed>(quiet) == nullptr);
+    CHECK_FALSE(Find<void_attempt>(quiet));
+    CHECK_FALSE(HasRecord<attempt_closed>(quiet));
   }
-  CHECK(FindRecord<attempt_closed>(owner.Tick(seconds(1))) != nullptr);
+  CHECK(HasRecord<attempt_closed>(owner.Tick(seconds(1))));
 }
 
 // Guards against a suspicion that survives the holder's return.
@@ -189,10 +188,10 @@
   owner_fixture owner;
   const attempt_id id = owner.Start(Spec());
   owner.Tick(seconds(60));
-  CHECK(FindRecord<attempt_adopted>(owner.Fact(id, attempt_fact::kRunning)) != nullptr);
+  CHECK(HasRecord<attempt_adopted>(owner.Fact(id, attempt_fact::kRunning)));
   owner.Durable();
   for (int i = 0; i < 20; ++i) {
-    CHECK(FindRecord<attempt_closed>(owner.Tick(seconds(10))) == nullptr);
+    CHECK_FALSE(HasRecord<attempt_closed>(owner.Tick(seconds(10))));
     owner.Fact(id, attempt_fact::kRunning);
   }
 }
@@ -204,9 +203,9 @@
   for (const char* host : {"a", "b", "c"}) {
     if (id.number > 1) {
       const auto retry = owner.Tick(seconds(1));
-      REQUIRE(Find<want_room>(retry) != nullptr);
+      REQUIRE(Find<want_room>(retry));
       CHECK(Find<want_room>(retry)->item.avoid.size() == id.number - 1);
-      owner.Handle(room_reserved{id, kHolder, {{{host}, 5}}});
+      owner.Handle(room_reserved{id, Holder(), {{{host}, 5}}});
       owner.Durable();
     }
     owner.Fact(id, attempt_fact::kFailed);
@@ -221,7 +220,7 @@
   job_spec spec = Spec();
   spec.idempotent = false;
   const attempt_id id = owner.Start(spec);
-  CHECK(Find<want_room>(owner.Handle(attempt_lost{id, 5})) == nullptr);
+  CHECK_FALSE(Find<want_room>(owner.Handle(attempt_lost{id, 5})));
   CHECK(owner.core.FindJob(id.task.job)->outcome == errc::kHostLost);
   const attempt_id never = owner.Start(spec, {"b"});
   owner.Fact(never, attempt_fact::kNever);
@@ -235,22 +234,22 @@
   spec.tasks = 3;
   const auto submitted = owner.Handle(submit_requested{1, spec, 0});
   attempt_id id = owner.Want(submitted);
-  owner.Handle(room_reserved{id, kHolder, {{{"a"}, 5}}});
+  owner.Handle(room_reserved{id, Holder(), {{{"a"}, 5}}});
   owner.Durable();
   owner.Fact(id, attempt_fact::kRunning);
   attempt_id second = id;
   second.task.index = 1;
-  owner.Handle(room_reserved{second, kHolder, {{{"b"}, 5}}});
+  owner.Handle(room_reserved{second, Holder(), {{{"b"}, 5}}});
   const auto cancelled = owner.Handle(cancel_requested{2, id.task.job});
-  CHECK(Find<withdraw_room>(cancelled) != nullptr);
-  REQUIRE(Find<return_room>(cancelled) != nullptr);
+  CHECK(Find<withdraw_room>(cancelled));
+  REQUIRE(Find<return_room>(cancelled));
   CHECK(Find<return_room>(cancelled)->id == second);
-  REQUIRE(Find<stop_attempt>(cancelled) != nullptr);
+  REQUIRE(Find<stop_attempt>(cancelled));
   CHECK(Find<stop_attempt>(cancelled)->id == id);
   const auto durable = owner.Durable();
-  CHECK(Find<start_attempt>(durable) == nullptr);
-  CHECK(Find<reply_job>(durable) != nullptr);
-  CHECK(Find<job_ended>(owner.Fact(id, attempt_fact::kFailed)) != nullptr);
+  CHECK_FALSE(Find<start_attempt>(durable));
+  CHECK(Find<reply_job>(durable));
+  CHECK(Find<job_ended>(owner.Fact(id, attempt_fact::kFailed)));
 }
 
 // Guards against a key that runs again, or whose second caller gets another answer.
@@ -259,15 +258,15 @@
   const attempt_id id = owner.Want(owner.Request("k"));
   CHECK(owner.Request("k").empty());
   CHECK(ErrorOf(owner.Request("k", 2)) == errc::kKeyReused);
-  const auto intended = owner.Handle(room_reserved{id, kHolder, {{{"a"}, 5}}});
-  CHECK(Find<run_request>(intended) == nullptr);
-  REQUIRE(Find<run_request>(owner.Durable()) != nullptr);
+  const auto intended = owner.Handle(room_reserved{id, Holder(), {{{"a"}, 5}}});
+  CHECK_FALSE(Find<run_request>(intended));
+  REQUIRE(Find<run_request>(owner.Durable()));
   const auto answered = owner.Handle(request_answered{id, attempt_fact::kSucceeded, "yes"});
   CHECK(std::count_if(answered.begin(), answered.end(), [](const partition_action& action) {
           return std::holds_alternative<reply_answer>(action.effect);
         }) == 2);
   const auto again = owner.Request("k");
-  REQUIRE(Find<reply_answer>(again) != nullptr);
+  REQUIRE(Find<reply_answer>(again));
   CHECK(Find<reply_answer>(again)->answer == "yes");
 }
 
@@ -275,14 +274,14 @@
 TEST_CASE("A passed deadline is 'not run' only before the run is sent") {
   owner_fixture owner;
   const attempt_id id = owner.Want(owner.Request("k", 1, owner.now + seconds(1)));
-  owner.Handle(room_reserved{id, kHolder, {{{"a"}, 5}}});
+  owner.Handle(room_reserved{id, Holder(), {{{"a"}, 5}}});
   CHECK(ErrorOf(owner.Tick(seconds(2))) == errc::kDeadlinePassed);
-  CHECK(Find<run_request>(owner.Durable()) == nullptr);
+  CHECK_FALSE(Find<run_request>(owner.Durable()));
 
   const attempt_id sent = owner.Want(owner.Request("k", 1, owner.now + seconds(1)));
   CHECK(sent.number == 2);
-  owner.Handle(room_reserved{sent, kHolder, {{{"a"}, 5}}});
-  CHECK(Find<run_request>(owner.Durable()) != nullptr);
+  owner.Handle(room_reserved{sent, Holder(), {{{"a"}, 5}}});
+  CHECK(Find<run_request>(owner.Durable()));
   CHECK(ErrorOf(owner.Tick(seconds(2))) == errc::kOutcomeUnknown);
 }
 
@@ -290,15 +289,15 @@
 TEST_CASE("An unknown outcome is resolved at the target and never run again") {
   owner_fixture owner;
   const attempt_id id = owner.Want(owner.Request("k"));
-  owner.Handle(room_reserved{id, kHolder, {{{"a"}, 5}}});
+  owner.Handle(room_reserved{id, Holder(), {{{"a"}, 5}}});
   owner.Durable();
   const auto lost = owner.Handle(request_answered{id, attempt_fact::kUnreachable, {}});
-  CHECK(Find<void_attempt>(lost) != nullptr);
+  CHECK(Find<void_attempt>(lost));
   CHECK(ErrorOf(owner.Handle(request_answered{id, attempt_fact::kUnreachable, {}})) ==
         errc::kOutcomeUnknown);
   const auto joined = owner.Request("k");
-  CHECK(Find<want_room>(joined) == nullptr);
-  CHECK(Find<void_attempt>(joined) != nullptr);
+  CHECK_FALSE(Find<want_room>(joined));
+  CHECK(Find<void_attempt>(joined));
   owner.Handle(request_answered{id, attempt_fact::kNever, {}});
   CHECK(owner.Want(owner.Tick(seconds(1))).number == 2);
 }
@@ -310,7 +309,7 @@
   owner_fixture owner(options);
   const attempt_id id = owner.Want(owner.Request("k"));
   CHECK(ErrorOf(owner.Request("other")) == errc::kOverloaded);
-  owner.Handle(room_reserved{id, kHolder, {{{"a"}, 5}}});
+  owner.Handle(room_reserved{id, Holder(), {{{"a"}, 5}}});
   owner.Durable();
   owner.Handle(request_answered{id, attempt_fact::kSucceeded, "yes"});
   owner.Tick(options.key_retention - seconds(1));
@@ -341,8 +340,8 @@
 TEST_CASE("An idle owner shows that it is alive") {
   owner_fixture owner;
   owner.Durable();
-  CHECK(FindRecord<owner_alive>(owner.Tick(seconds(4))) == nullptr);
-  CHECK(FindRecord<owner_alive>(owner.Tick(seconds(1))) != nullptr);
+  CHECK_FALSE(HasRecord<owner_alive>(owner.Tick(seconds(4))));
+  CHECK(HasRecord<owner_alive>(owner.Tick(seconds(1))));
 }
 
 // Guards against one lost task leaving the rest of a gang running for nothing.
@@ -352,16 +351,16 @@
   spec.kind = work_kind::kGang;
   spec.tasks = 2;
   attempt_id id = owner.Want(owner.Handle(submit_requested{1, spec, 0}));
-  owner.Handle(room_reserved{id, kHolder, {{{"a"}, 5}, {{"b"}, 5}}});
+  owner.Handle(room_reserved{id, Holder(), {{{"a"}, 5}, {{"b"}, 5}}});
   owner.Durable();
   owner.Fact(id, attempt_fact::kRunning);
   const auto lost = owner.Handle(attempt_lost{id, 5});
-  CHECK(Find<want_room>(lost) == nullptr);
-  REQUIRE(Find<void_attempt>(lost) != nullptr);
+  CHECK_FALSE(Find<want_room>(lost));
+  REQUIRE(Find<void_attempt>(lost));
   id.task.index = 1;
   CHECK(Find<void_attempt>(lost)->id == id);
-  const auto* want = Find<want_room>(owner.Fact(id, attempt_fact::kFailed));
-  REQUIRE(want != nullptr);
+  const auto want = Find<want_room>(owner.Fact(id, attempt_fact::kFailed));
+  REQUIRE(want);
   CHECK(want->item.count == 2);
   CHECK(want->item.id.number == 2);
 }
--- a/packages/core/tests/partition_world.cc
+++ b/packages/core/tests/partition_world.cc
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr int kHosts = 3;
-const process_id kHolder{"holder"};
+process_id Holder() { return {"holder"}; }
 
 std::int64_t WallMs(time_point now) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
@@ -111,7 +111,7 @@
 
 void partition_world::Report(int owner, const test_host& host, const attempt_id& id,
                              attempt_fact fact) {
-  const attempt_reported report{id, host.name, host.term, kHolder, fact};
+  const attempt_reported report{id, host.name, host.term, Holder(), fact};
   net_.push_back({[=, this] { Handle(owner, report); }, [] {}});
 }
 
@@ -137,10 +137,10 @@
       CheckTwoRuns(start.id);
     }
   }
-  const attempt_reported report{start.id, host.name, start.place.term, kHolder, fact};
+  const attempt_reported report{start.id, host.name, start.place.term, Holder(), fact};
   net_.push_back({[=, this] { Handle(owner, report); },
                   [=, this] {
-                    Handle(owner, attempt_reported{report.id, report.host, report.term, kHolder,
+                    Handle(owner, attempt_reported{report.id, report.host, report.term, Holder(),
                                                    attempt_fact::kUnreachable});
                   }});
 }
@@ -306,7 +306,7 @@
   const work_item item = *chosen;
   node.wants.erase(chosen);
   if (choice % 16 == 15) return Handle(owner, room_refused{item.id, errc::kOverloaded});
-  room_reserved reserved{item.id, kHolder, {}};
+  room_reserved reserved{item.id, Holder(), {}};
   for (std::uint32_t i = 0; i < item.count; ++i) {
     const test_host& host = hosts_[(choice / 16 + i) % hosts_.size()];
     reserved.places.push_back({host.name, host.term});
@@ -376,67 +376,45 @@
                   [] {}});
 }
 
+test_message partition_world::TakeMessage(std::uint32_t choice) {
+  if (net_.empty()) return {[] {}, [] {}};
+  const auto chosen = net_.begin() + static_cast<std::ptrdiff_t>(choice % net_.size());
+  test_message message = std::move(*chosen);
+  net_.erase(chosen);
+  return message;
+}
+
 void partition_world::Step(std::uint32_t choice) {
+  const std::uint32_t kind = choice % 48;
   const std::uint32_t rest = choice / 48;
-  const int owner = SomeOwner(rest);
-  const auto take_message = [&] {
-    const auto chosen = net_.begin() + static_cast<std::ptrdiff_t>(rest % net_.size());
-    test_message message = std::move(*chosen);
-    net_.erase(chosen);
-    return message;
-  };
-  switch (choice % 48) {
-    case 1:
-    case 2:
-      return Submit(rest);
-    case 3:
-    case 4:
-      return Request(rest);
-    case 5:
-      if (rest % 3 == 0) Cancel(rest / 3);
-      return;
-    case 6:
-    case 7:
-      if (!net_.empty()) take_message().lose();
-      return;
-    case 8:
-    case 9:
-    case 10:
-    case 11:
-      return StartAppend(owner);
-    case 12:
-    case 13:
-    case 14:
-    case 15:
-      return AnswerWant(owner, rest / 4);
-    case 16:
-      return Advance(std::chrono::seconds(rest % 16 == 0 ? 70 : rest % 4 == 0 ? 6 : 1));
-    case 17:
-      return Advance(std::chrono::milliseconds(rest % 900));
-    case 18:
-    case 19:
-      return FinishOne(rest);
-    case 20:
-      if (rest % 6 != 0) return;
-      // Half of the replaced owners go on without knowing that they were replaced.
-      if (rest % 12 == 0) Newest().alive = false;
-      return Take();
-    case 21:
-      if (rest % 4 == 0) LoseHost(hosts_[rest % hosts_.size()]);
-      return;
-    case 22:
-      if (rest % 4 == 0) ChangeHolder(hosts_[rest % hosts_.size()]);
-      return;
-    case 23:
-      if (rest % 4 != 0) return;
-      log_up_ = !log_up_;
-      for (std::size_t i = 0; i < owners_.size(); ++i) {
-        Handle(static_cast<int>(i), log_availability{log_up_});
-      }
-      return;
-    default:
-      if (!net_.empty()) take_message().deliver();
+  if (kind < 2) return Submit(rest);
+  if (kind < 4) return Request(rest);
+  if (kind < 6) return TakeMessage(rest).lose();
+  if (kind < 10) return StartAppend(SomeOwner(rest));
+  if (kind < 14) return AnswerWant(SomeOwner(rest), rest / 4);
+  if (kind < 15) return Advance(std::chrono::seconds(rest % 16 == 0 ? 70 : rest % 4 == 0 ? 6 : 1));
+  if (kind < 16) return Advance(std::chrono::milliseconds(rest % 900));
+  if (kind < 18) return FinishOne(rest);
+  if (kind < 22) return Disturb(kind, rest);
+  TakeMessage(rest).deliver();
+}
+
+void partition_world::Disturb(std::uint32_t kind, std::uint32_t choice) {
+  if (choice % 4 != 0) return;
+  const std::uint32_t rest = choice / 4;
+  test_host& host = hosts_[rest % hosts_.size()];
+  if (kind == 18) return rest % 2 == 0 ? LoseHost(host) : ChangeHolder(host);
+  if (kind == 19) return Cancel(rest);
+  if (kind == 20) {
+    log_up_ = !log_up_;
+    for (std::size_t i = 0; i < owners_.size(); ++i) {
+      Handle(static_cast<int>(i), log_availability{log_up_});
+    }
+    return;
   }
+  // Half of the replaced owners go on without knowing that they were replaced.
+  if (rest % 2 == 0) Newest().alive = false;
+  Take();
 }
 
 void partition_world::Drain() {
--- a/packages/core/tests/partition_world.h
+++ b/packages/core/tests/partition_world.h
@@ -9,8 +9,8 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "sycamorehinge/core/partition.h"
@@ -39,7 +39,7 @@
 
 // A process that owns the partition, or believes that it does.
 struct test_owner {
-  explicit test_owner(partition core_) : core(std::move(core_)) {}
+  explicit test_owner(partition owned) : core(std::move(owned)) {}
   partition core;
   bool alive = true;
   std::uint64_t known_offset = 0;
@@ -49,7 +49,6 @@
   std::optional<record_batch> in_flight;
   std::multimap<std::uint64_t, partition_effect> held;
   std::vector<work_item> wants;
-  std::set<call_number> waiting;
 };
 
 // A keyed request as its caller sees it.
@@ -80,6 +79,8 @@
   partition Replayed(std::size_t first) const;
 
  private:
+  test_message TakeMessage(std::uint32_t choice);
+  void Disturb(std::uint32_t kind, std::uint32_t choice);
   void Handle(int owner, const partition_event& event);
   void Perform(int owner, const partition_effect& effect);
   void Take();
--- a/packages/core/tests/routing_test.cc
+++ b/packages/core/tests/routing_test.cc
@@ -34,8 +34,10 @@
 // Guards against all processes sending their overflow to the one freest peer.
 TEST_CASE("The freer of two sampled peers comes first") {
   std::vector<process_status> peers;
-  for (int i = 0; i < 6; ++i)
-    peers.push_back(Peer(std::string(1, static_cast<char>('a' + i)), "harju", 1000 * (i + 1)));
+  peers.reserve(6);
+  for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+    peers.push_back(Peer(name, "harju", 1000 * (1 + static_cast<std::int64_t>(peers.size()))));
+  }
   route_request request;
   request.environment = {"env"};
   request.size = {500, 1, 0, 0};
