--- a/packages/node/include/sycamorehinge/node/ports.h
+++ b/packages/node/include/sycamorehinge/node/ports.h
@@ -140,7 +140,8 @@
   // Wall-clock milliseconds since 1970; for people and deadlines across owners only.
   std::function<std::int64_t()> wall_ms;
   // Errors: kTimeout and kConnectionFailed (unknown whether it took effect; kConnectionFailed with
-  // detail "refused" means it did not), kStaleTerm, kVoided, kNoRoom, kFailed, kMalformed.
+  // detail "refused" and kTimeout with detail "not sent" mean it did not), kStaleTerm, kVoided,
+  // kNoRoom, kFailed, kMalformed.
   std::function<void(const listed_host&, host_call, completion<host_answer>)> call_host;
   // Errors: kLogUnavailable, kTimeout (unknown), kOverloaded (rate).
   std::function<void(std::string_view stream, std::string bytes, completion<std::uint64_t>)> append;
@@ -153,6 +154,8 @@
   std::function<bool(const process_id&, const peer_message&)> send_peer;
   // Unreliable.
   std::function<void(const process_id&, const process_status&)> send_heartbeat;
+  // Runs the function once at or after the time, on any thread but never inside the call.
+  std::function<void(time_point, std::function<void()>)> at;
 };
 
 }  // namespace sycamorehinge
