--- a/packages/testing/src/check_documents.cc
+++ b/packages/testing/src/check_documents.cc
@@ -56,8 +56,10 @@
       std::uint64_t highest = 0;
       for (const seen_version& version : seen) {
         if (version.version < highest) {
-          std::string text = document + " at " + process + " went back from ";
-          text += std::to_string(highest) + " to " + std::to_string(version.version);
+          std::string text = document;
+          text.append(" at ").append(process).append(" went back from ");
+          text.append(std::to_string(highest)).append(" to ");
+          text.append(std::to_string(version.version));
           found.Add(version.at, text);
         }
         highest = std::max(highest, version.version);
