--- a/packages/ctl/src/commands/state.cc
+++ b/packages/ctl/src/commands/state.cc
@@ -23,7 +23,10 @@
     return;
   }
   for (const auto& [key, field] : value.items()) {
-    Flatten(field, path.empty() ? key : path + "." + key, table);
+    std::string item = path;
+    if (!path.empty()) item += '.';
+    item += key;
+    Flatten(field, item, table);
   }
 }
 
