--- a/packages/core/src/pool_state.h
+++ b/packages/core/src/pool_state.h
@@ -3,6 +3,7 @@
 #define SYCAMOREHINGE_CORE_SRC_POOL_STATE_H_
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <span>
 #include <string>
@@ -30,17 +31,19 @@
   resources size;
   std::vector<host_slot> hosts;
   time_point until;
+  // When all work on the hosts should have ended.
+  time_point ready;
 };
 
 // Why an item cannot be placed now.
 enum class wait_reason { kNone, kQuota, kLimit, kShare, kRoom, kBackoff };
 
 struct pool::state {
-  explicit state(pool_options pool_options_)
-      : options(pool_options_),
-        queue(pool_options_.order),
-        ejection(pool_options_.eject_failing_hosts),
-        random(pool_options_.seed) {}
+  explicit state(const pool_options& given)
+      : options(given),
+        queue(given.order),
+        ejection(given.eject_failing_hosts),
+        random(given.seed) {}
 
   // Events, in pool.cc.
   void On(const host_claimed& event, time_point now, std::vector<pool_action>& out);
@@ -73,6 +76,8 @@
   bool KeepsHeadroom(const work_item& item, class_index work_class) const;
   bool Choose(const queue_item& entry, time_point now);
   bool ChooseProbe(const queue_item& entry, time_point now);
+  bool MayFit(const resources& size, time_point now) const;
+  bool MayUseDrained(const queue_item& entry, time_point now) const;
   bool IsKnownNotToFit(const queue_item& entry) const;
   void NoteNotFitting(const queue_item& entry);
   void Place(const queue_item& entry, time_point now, duration hold_time,
@@ -94,12 +99,26 @@
 
   void StartGangDrain(queue_slot slot, time_point now);
   void EndDrain(std::size_t index);
+  void ScheduleNextDrain();
+  time_point LatestEnd(host_slot host, time_point bound) const;
+  bool EndsBeforeDrains(const queue_item& entry, time_point now) const;
   void EndDrainOf(queue_slot slot);
   void EndLateDrains(time_point now);
   bool HasDrain(queue_slot slot) const;
   bool MayDrain(const queue_item& entry) const;
   void AddDrain(queue_slot slot, bool gang, std::span<const host_slot> hosts, time_point until);
-  std::vector<host_slot> HostsToDrain(const queue_item& entry) const;
+  struct drain_candidate {
+    // Share of the host's room for such tasks that is free.
+    double free = 0;
+    host_slot host = 0;
+    // Tasks that the empty host holds.
+    std::int64_t tasks = 0;
+    time_point empty;
+  };
+  time_point EmptyAt(host_slot host, time_point now) const;
+  std::vector<drain_candidate> DrainCandidates(const resources& size) const;
+  std::vector<host_slot> HostsToDrain(const queue_item& entry, time_point now) const;
+  bool IsLarge(const resources& size) const;
   std::size_t DrainableHosts() const;
   bool MayDrainForTask() const;
   void DrainForLargeTasks(time_point now);
@@ -129,8 +148,12 @@
   std::vector<std::pair<resources, int>> shapes;
   std::vector<host_drain> drains;
   std::vector<std::uint8_t> drained;
+  // Gangs whose drain starts when the current one ends, and their generations.
+  std::deque<std::pair<queue_slot, std::uint32_t>> waiting_gangs;
   // No gang drain starts before this time, so that hosts serve other work between two drains.
   time_point next_gang_drain;
+  // Choosing a host to drain looks at all hosts, so it is done rarely.
+  time_point next_large_drain;
   // Room of each class that preempted work will give back.
   std::vector<resources> preempting;
   // Sizes that were found not to fit while one event is handled; room only shrinks meanwhile.
