--- a/packages/ctl/src/commands/commands.h
+++ b/packages/ctl/src/commands/commands.h
@@ -9,6 +9,7 @@
 namespace sycamorehinge {
 
 void AddApplyCommand(command_registry& registry);
+void AddBenchCommand(command_registry& registry);
 void AddCheckCommand(command_registry& registry);
 void AddClusterCommands(command_registry& registry);
 void AddDiffCommand(command_registry& registry);
--- a/packages/ctl/tests/command_test.cc
+++ b/packages/ctl/tests/command_test.cc
@@ -122,9 +122,9 @@
 
 // Guards against commands that cannot be explored on the command line.
 TEST_CASE("Every command has help and version") {
-  for (const char* name :
-       {"check", "diff", "apply", "promote", "history", "submit", "status", "cancel", "wait",
-        "request", "hosts", "queues", "explain", "state", "metrics", "drain", "help-settings"}) {
+  for (const char* name : {"check", "diff", "apply", "promote", "history", "submit", "status",
+                           "cancel", "wait", "request", "hosts", "queues", "explain", "state",
+                           "metrics", "drain", "bench", "help-settings"}) {
     fake_api api;
     INFO(name);
     CHECK(api.Run({name, "--help"}) == 0);
@@ -193,6 +193,19 @@
   CHECK(Contains(api.out, "partitions[0].number  3"));
 }
 
+// Guards against a signature that changes from run to run, which would show changes of decisions
+// where there are none.
+TEST_CASE("Bench prints the same signature for the same seed") {
+  const std::vector<std::string> line = {"bench", "--hosts", "5", "--items", "200"};
+  fake_api first;
+  fake_api second;
+  CHECK(first.Run(line) == 0);
+  CHECK(second.Run(line) == 0);
+  CHECK(Contains(first.out, "\nsignature "));
+  CHECK(first.out.str() == second.out.str());
+  CHECK(first.calls.empty());
+}
+
 // Guards against a check that passes a wrong file or hides some of its mistakes.
 TEST_CASE("Check prints every mistake") {
   const std::string path =
