--- a/packages/ctl/src/commands/job.cc
+++ b/packages/ctl/src/commands/job.cc
@@ -27,12 +27,14 @@
   if (attempts.empty()) return;
   text_table table({"task", "attempts", "open", "host", "last"});
   for (const json& task : attempts) {
+    // While the first attempt is open, no attempt has ended yet.
+    const bool first = FlagField(task, "open") && NumberField(task, "attempts") <= 1;
     table.Add({task.contains("task") && task["task"].is_string()
                    ? TextField(task, "task")
                    : std::to_string(NumberField(task, "task")),
                std::to_string(NumberField(task, "attempts")),
                FlagField(task, "open") ? "yes" : "no", TextField(task, "host"),
-               TextField(task, "last")});
+               first ? std::string() : TextField(task, "last")});
   }
   context.out << table.Render();
 }
--- a/packages/ctl/tests/command_test.cc
+++ b/packages/ctl/tests/command_test.cc
@@ -157,6 +157,17 @@
   CHECK(api.Run({"wait", "p1-2-3", "--wait-ms", "1000"}) == 6);
 }
 
+// Guards against a status that reports an end of an attempt that still runs.
+TEST_CASE("Status shows how attempts ended, but not of the first one while it runs") {
+  fake_api api;
+  api.Reply(200, R"({"job":"p1-2-3","state":"running","tasks":2,"attempts":[
+      {"task":"p1-2-3.0","attempts":1,"open":true,"host":"w1","last":"never_ran"},
+      {"task":"p1-2-3.1","attempts":2,"open":true,"host":"w2","last":"lost"}]})");
+  CHECK(api.Run({"status", "p1-2-3"}) == 0);
+  CHECK_FALSE(Contains(api.out, "never_ran"));
+  CHECK(Contains(api.out, "p1-2-3.1         2  yes   w2    lost"));
+}
+
 // Guards against an answer that is altered on its way to the terminal.
 TEST_CASE("Request prints the answer byte by byte") {
   fake_api api;
