--- a/packages/core/src/pool_hosts.cc
+++ b/packages/core/src/pool_hosts.cc
@@ -45,7 +45,10 @@
 }
 
 bool pool::state::SomeHostCouldHold(const resources& size) const {
-  if (elsewhere.Holds(size)) return true;
+  return elsewhere.Holds(size) || LocalHostCouldHold(size);
+}
+
+bool pool::state::LocalHostCouldHold(const resources& size) const {
   return std::any_of(shapes.begin(), shapes.end(),
                      [&size](const auto& shape) { return shape.first.Holds(size); });
 }
--- a/packages/core/src/pool_state.h
+++ b/packages/core/src/pool_state.h
@@ -66,6 +66,7 @@
   void ForgetWork(const room_work& work);
   void CountCapacity(const resources& capacity, int change);
   bool SomeHostCouldHold(const resources& size) const;
+  bool LocalHostCouldHold(const resources& size) const;
   void AdoptRunning(host_slot host, std::span<const held_work> running, time_point now);
   void FreeWork(work_slot work);
   void CountOutcome(const room_work& work, const work_finished& event, time_point now);
--- a/packages/core/src/pool_timers.cc
+++ b/packages/core/src/pool_timers.cc
@@ -10,6 +10,8 @@
 // within 2.3 s, also where only a peer has room.
 constexpr int kOverflowFactor = 8;
 constexpr duration kMaxOverflowGap = std::chrono::seconds(2);
+// Work that no host of this process could hold depends on peers alone.
+constexpr duration kMaxOverflowGapElsewhere = std::chrono::milliseconds(200);
 // Hosts are claimed one by one, so work that no known host could hold is refused only after the
 // claims of a start or takeover have been made.
 constexpr duration kFitsNowhereAfter = std::chrono::seconds(10);
@@ -45,7 +47,9 @@
   // Hosts may have left since the work was offered.
   if (!entry.avoid.empty()) entry.avoid = HostsToAvoid(entry.item);
   const duration gap = std::max(options.overflow_after, waited * (kOverflowFactor - 1));
-  entry.next_overflow = now + std::clamp(gap, duration(1000), kMaxOverflowGap);
+  const bool local = LocalHostCouldHold(entry.item.size);
+  const duration most = local ? kMaxOverflowGap : kMaxOverflowGapElsewhere;
+  entry.next_overflow = now + std::clamp(gap, duration(1000), most);
   timers.Push({entry.next_overflow, timer_kind::kOverflow, slot, entry.generation});
 }
 
--- a/packages/node/src/entry_node.cc
+++ b/packages/node/src/entry_node.cc
@@ -80,12 +80,12 @@
     return lines;
   }
   for (const task_status& task : status->tasks) {
-    const attempt_id attempt{task.task, task.attempts == 0 ? 0 : task.attempts - 1};
     if (task.open) {
+      const attempt_id attempt{task.task, task.attempts};
       lines.push_back(ToString(attempt) + " is on host " + task.host.value);
       continue;
     }
-    const std::string why = parts_->pools.Explain(attempt);
+    const std::string why = parts_->pools.Explain({task.task, task.attempts + 1});
     lines.push_back(ToString(task.task) + (why.empty() ? " is not waiting here" : ": " + why));
   }
   return lines;
--- a/packages/node/src/pool_set.cc
+++ b/packages/node/src/pool_set.cc
@@ -207,6 +207,7 @@
                      s.key.service,
                      summary.capacity - summary.taken,
                      summary.largest_free,
+                     summary.largest_host,
                      {}};
       for (const class_summary& each : summary.classes) {
         load.expected_wait = std::max(load.expected_wait, each.expected_wait);
