Keep repeated unreachable answers from putting off the next question

A holder that answered 'unreachable' more often than it was asked moved the timer of the next void_attempt each time. The next question now follows from the timer alone.

--- a/packages/core/src/partition_attempts.cc
+++ b/packages/core/src/partition_attempts.cc
@@ -151,13 +151,10 @@
 
 void partition::state::OnUnreachable(const job_row& job, live_attempt& live, const attempt_id& id) {
   if (job.open[id.task.index].suspected) return;
-  if (live.phase == attempt_phase::kStarting) {
-    live.phase = attempt_phase::kUnknown;
-    return AskHost(job, live, id, 0);
-  }
-  // A running attempt needs no answer unless it shall stop; silence is watched separately.
-  if (live.phase == attempt_phase::kRunning && !live.stopping) return;
-  SetResolve(live, id, Backoff(RetryRule(job.status.spec.environment), live.resolves, id));
+  if (live.phase != attempt_phase::kStarting) return;
+  live.phase = attempt_phase::kUnknown;
+  // Later questions follow from the timer alone, so repeated answers do not put them off.
+  AskHost(job, live, id, 0);
 }
 
 // The attempt is closed: a host that still runs it stops it, and one that reports its end need not
--- a/packages/core/tests/partition_test.cc
+++ b/packages/core/tests/partition_test.cc
@@ -183,6 +183,38 @@
   CHECK(HasRecord<attempt_closed>(owner.Tick(seconds(1))));
 }
 
+// Guards against questions about a suspected attempt, which count as contact for its holder.
+TEST_CASE("A start without an answer is asked about until it is suspected") {
+  owner_fixture owner;
+  const attempt_id id = owner.Start(Spec());
+  int asked = 0;
+  bool suspected = false;
+  for (int i = 0; i < 120; ++i) {
+    const auto actions = owner.Tick(seconds(1));
+    const bool question = Find<void_attempt>(actions).has_value();
+    CHECK_FALSE((suspected && question));
+    if (question) ++asked;
+    suspected = suspected || HasRecord<attempt_suspected>(actions);
+    owner.Fact(id, attempt_fact::kUnreachable);
+  }
+  CHECK(asked > 5);
+  CHECK(suspected);
+}
+
+// Guards against a replaced owner stopping the work of its successor.
+TEST_CASE("Closed attempts are stopped, unknown ones only by a proven owner") {
+  owner_fixture owner;
+  const attempt_id id = owner.Start(Spec());
+  owner.Fact(id, attempt_fact::kSucceeded);
+  owner.Durable();
+  CHECK(Find<stop_attempt>(owner.Fact(id, attempt_fact::kRunning)));
+  const attempt_id unknown{{{0, 7, 1}, 0}, 1};
+  const auto actions = owner.Fact(unknown, attempt_fact::kRunning);
+  CHECK(HasRecord<owner_alive>(actions));
+  REQUIRE(Find<stop_attempt>(actions));
+  CHECK(actions.back().after_sequence == owner.last);
+}
+
 // Guards against a suspicion that survives the holder's return.
 TEST_CASE("A report ends the suspicion") {
   owner_fixture owner;
