--- a/packages/core/src/pool_state.h
+++ b/packages/core/src/pool_state.h
@@ -57,6 +57,7 @@
   void On(const hold_confirmed& event, time_point now, std::vector<pool_action>& out);
   void On(const hold_released& event, time_point now, std::vector<pool_action>& out);
   void On(const rules_changed& event, time_point now, std::vector<pool_action>& out);
+  void On(const room_elsewhere& event, time_point now, std::vector<pool_action>& out);
   void On(const pool_tick& event, time_point now, std::vector<pool_action>& out);
 
   // Hosts, in pool_hosts.cc.
@@ -85,6 +86,7 @@
   bool TryQueued(queue_slot slot, time_point now, std::vector<pool_action>& out);
   void Dispatch(time_point now, std::vector<pool_action>& out);
   queue_item EntryOf(const work_item& item, time_point now);
+  std::vector<host_slot> HostsToAvoid(const work_item& item) const;
   errc CheckOffer(const queue_item& entry, time_point now) const;
   void Enqueue(queue_item entry, time_point now);
   void Dequeue(queue_slot slot);
@@ -146,6 +148,8 @@
 
   // Capacities of claimed hosts and how many hosts have each.
   std::vector<std::pair<resources, int>> shapes;
+  // Largest host of other processes; the zero value if none is known.
+  resources elsewhere;
   std::vector<host_drain> drains;
   std::vector<std::uint8_t> drained;
   // Gangs whose drain starts when the current one ends, and their generations.
--- a/packages/ctl/tests/command_test.cc
+++ b/packages/ctl/tests/command_test.cc
@@ -122,9 +122,9 @@
 
 // Guards against commands that cannot be explored on the command line.
 TEST_CASE("Every command has help and version") {
-  for (const char* name :
-       {"check", "diff", "apply", "promote", "history", "submit", "status", "cancel", "wait",
-        "request", "hosts", "queues", "explain", "state", "metrics", "drain", "help-settings"}) {
+  for (const char* name : {"check", "diff", "apply", "promote", "history", "submit", "status",
+                           "cancel", "wait", "request", "hosts", "queues", "explain", "state",
+                           "metrics", "drain", "bench", "help-settings"}) {
     fake_api api;
     INFO(name);
     CHECK(api.Run({name, "--help"}) == 0);
@@ -157,6 +157,17 @@
   CHECK(api.Run({"wait", "p1-2-3", "--wait-ms", "1000"}) == 6);
 }
 
+// Guards against a status that reports an end of an attempt that still runs.
+TEST_CASE("Status shows how attempts ended, but not of the first one while it runs") {
+  fake_api api;
+  api.Reply(200, R"({"job":"p1-2-3","state":"running","tasks":2,"attempts":[
+      {"task":"p1-2-3.0","attempts":1,"open":true,"host":"w1","last":"never_ran"},
+      {"task":"p1-2-3.1","attempts":2,"open":true,"host":"w2","last":"lost"}]})");
+  CHECK(api.Run({"status", "p1-2-3"}) == 0);
+  CHECK_FALSE(Contains(api.out, "never_ran"));
+  CHECK(Contains(api.out, "p1-2-3.1         2  yes   w2    lost"));
+}
+
 // Guards against an answer that is altered on its way to the terminal.
 TEST_CASE("Request prints the answer byte by byte") {
   fake_api api;
@@ -193,6 +204,19 @@
   CHECK(Contains(api.out, "partitions[0].number  3"));
 }
 
+// Guards against a signature that changes from run to run, which would show changes of decisions
+// where there are none.
+TEST_CASE("Bench prints the same signature for the same seed") {
+  const std::vector<std::string> line = {"bench", "--hosts", "5", "--items", "200"};
+  fake_api first;
+  fake_api second;
+  CHECK(first.Run(line) == 0);
+  CHECK(second.Run(line) == 0);
+  CHECK(Contains(first.out, "\nsignature "));
+  CHECK(first.out.str() == second.out.str());
+  CHECK(first.calls.empty());
+}
+
 // Guards against a check that passes a wrong file or hides some of its mistakes.
 TEST_CASE("Check prints every mistake") {
   const std::string path =
