Rename the partition's timer types, which clashed with the pool's

Both were sycamorehinge::timer with different layouts, so the linker merged their vector and heap functions. AddressSanitizer reports a heap overflow in pool::state::Enqueue before the change.

--- a/packages/core/src/partition.cc
+++ b/packages/core/src/partition.cc
@@ -199,36 +199,36 @@
   Do(0, reply_error{call, code, std::string(detail), {}});
 }
 
-void partition::state::SetTimer(time_point at, timer_kind kind, const attempt_id& id) {
+void partition::state::SetTimer(time_point at, partition_timer_kind kind, const attempt_id& id) {
   if (at != time_point::max()) timers.push({at, kind, id});
 }
 
 void partition::state::FireTimers() {
   while (!timers.empty() && timers.top().at <= now) {
-    const timer due = timers.top();
+    const partition_timer due = timers.top();
     timers.pop();
     Fire(due);
   }
 }
 
-void partition::state::Fire(const timer& timer) {
+void partition::state::Fire(const partition_timer& timer) {
   switch (timer.kind) {
-    case timer_kind::kWantRoom:
+    case partition_timer_kind::kWantRoom:
       if (const auto found = wanted.find(timer.id);
           found != wanted.end() && found->second.due == timer.at) {
         SendWant(timer.id);
       }
       return;
-    case timer_kind::kResolve:
+    case partition_timer_kind::kResolve:
       return Resolve(timer);
-    case timer_kind::kSilence:
+    case partition_timer_kind::kSilence:
       return CheckSilence(timer);
-    case timer_kind::kRequest:
+    case partition_timer_kind::kRequest:
       return OnRequestTimer(timer);
-    case timer_kind::kDeadline:
+    case partition_timer_kind::kDeadline:
       if (live_request* live = FindRequest(timer.id)) ExpireCalls(*live);
       return;
-    case timer_kind::kExpire:
+    case partition_timer_kind::kExpire:
       return Expire(timer);
   }
 }
@@ -236,12 +236,12 @@
 void partition::state::ExpireAfter(const job_id& id, duration retention) {
   const time_point at = now + retention;
   expire_at[id] = at;
-  SetTimer(at, timer_kind::kExpire, {{id, 0}, 0});
+  SetTimer(at, partition_timer_kind::kExpire, {{id, 0}, 0});
 }
 
 // Ended jobs and keys leave without a record: the next snapshot omits them, and a new owner that
 // still reads them only keeps them longer.
-void partition::state::Expire(const timer& timer) {
+void partition::state::Expire(const partition_timer& timer) {
   const job_id& id = timer.id.task.job;
   const auto found = expire_at.find(id);
   if (found == expire_at.end() || found->second != timer.at) return;
--- a/packages/core/src/partition_attempts.cc
+++ b/packages/core/src/partition_attempts.cc
@@ -51,7 +51,7 @@
     // Asked again when the log is back; the next tick asks if the answer was malformed.
     want->second.sent = false;
     want->second.due = now;
-    return SetTimer(now, timer_kind::kWantRoom, event.id);
+    return SetTimer(now, partition_timer_kind::kWantRoom, event.id);
   }
   wanted.erase(want);
   attempt_id id = event.id;
@@ -238,10 +238,10 @@
 
 void partition::state::SetResolve(live_attempt& live, const attempt_id& id, duration delay) {
   live.resolve_at = now + delay;
-  SetTimer(live.resolve_at, timer_kind::kResolve, id);
+  SetTimer(live.resolve_at, partition_timer_kind::kResolve, id);
 }
 
-void partition::state::Resolve(const timer& timer) {
+void partition::state::Resolve(const partition_timer& timer) {
   const job_row* job = ledger.FindOpen(timer.id);
   const auto live = attempts.find(timer.id);
   if (job == nullptr || live == attempts.end() || live->second.resolve_at != timer.at) return;
@@ -260,10 +260,10 @@
     live.close_at = time_point::max();
     live.silence_at = now + options.contact_ttl / kProbesPerContactTtl;
   }
-  SetTimer(live.silence_at, timer_kind::kSilence, id);
+  SetTimer(live.silence_at, partition_timer_kind::kSilence, id);
 }
 
-void partition::state::CheckSilence(const timer& timer) {
+void partition::state::CheckSilence(const partition_timer& timer) {
   job_row* job = ledger.FindOpen(timer.id);
   const auto found = attempts.find(timer.id);
   if (job == nullptr || found == attempts.end() || found->second.silence_at != timer.at) return;
@@ -281,7 +281,7 @@
                        job->status.tasks[timer.id.task.index].host});
   }
   live.silence_at = std::min(now + step, live.heard + options.contact_ttl);
-  SetTimer(live.silence_at, timer_kind::kSilence, timer.id);
+  SetTimer(live.silence_at, partition_timer_kind::kSilence, timer.id);
 }
 
 }  // namespace sycamorehinge
--- a/packages/core/src/partition_jobs.cc
+++ b/packages/core/src/partition_jobs.cc
@@ -102,7 +102,7 @@
   if (due <= now) {
     SendWant(id);
   } else {
-    SetTimer(due, timer_kind::kWantRoom, id);
+    SetTimer(due, partition_timer_kind::kWantRoom, id);
   }
 }
 
--- a/packages/core/src/partition_keys.cc
+++ b/packages/core/src/partition_keys.cc
@@ -94,7 +94,7 @@
 
 void partition::state::AddCall(live_request& live, const keyed_request_arrived& event) {
   live.calls.push_back({event.call, event.request.deadline});
-  SetTimer(event.request.deadline, timer_kind::kDeadline, live.id);
+  SetTimer(event.request.deadline, partition_timer_kind::kDeadline, live.id);
 }
 
 void partition::state::WantRequestRoom(live_request& live) {
@@ -171,7 +171,7 @@
   live.phase = request_phase::kRunning;
   live.unknown_since = now;
   live.next_at = now + (service == nullptr ? service_rule{} : *service).timeout + kRunMargin;
-  SetTimer(live.next_at, timer_kind::kRequest, live.id);
+  SetTimer(live.next_at, partition_timer_kind::kRequest, live.id);
   Do(after, run_request{live.calls.front().call, live.id, row.holder, row.place});
 }
 
@@ -219,7 +219,7 @@
     return DropRequest(request);
   }
   live.next_at = now + Backoff(rule, live.refused - 1, live.id);
-  SetTimer(live.next_at, timer_kind::kRequest, live.id);
+  SetTimer(live.next_at, partition_timer_kind::kRequest, live.id);
 }
 
 void partition::state::OnRequestUnreachable(live_request& live) {
@@ -240,10 +240,10 @@
   const duration backoff = Backoff({.max_backoff = kMaxVoidDelay}, live.resolves, live.id);
   ++live.resolves;
   live.next_at = now + std::max(kMinVoidDelay, backoff);
-  SetTimer(live.next_at, timer_kind::kRequest, live.id);
+  SetTimer(live.next_at, partition_timer_kind::kRequest, live.id);
 }
 
-void partition::state::OnRequestTimer(const timer& timer) {
+void partition::state::OnRequestTimer(const partition_timer& timer) {
   live_request* live = FindRequest(timer.id);
   if (live == nullptr || live->id != timer.id || live->next_at != timer.at) return;
   switch (live->phase) {
--- a/packages/core/src/partition_state.h
+++ b/packages/core/src/partition_state.h
@@ -91,14 +91,15 @@
   time_point unknown_since;
 };
 
-enum class timer_kind { kWantRoom, kResolve, kSilence, kRequest, kDeadline, kExpire };
+enum class partition_timer_kind { kWantRoom, kResolve, kSilence, kRequest, kDeadline, kExpire };
 
-struct timer {
+// Named apart from the pool's timer: both are in one namespace.
+struct partition_timer {
   time_point at;
-  timer_kind kind = timer_kind::kResolve;
+  partition_timer_kind kind = partition_timer_kind::kResolve;
   attempt_id id;
 
-  friend bool operator>(const timer& a, const timer& b) { return a.at > b.at; }
+  friend bool operator>(const partition_timer& a, const partition_timer& b) { return a.at > b.at; }
 };
 
 // An action that is decided only when its record is durable: until then the attempt may have been
@@ -139,11 +140,11 @@
   void Defer(std::uint64_t sequence, const deferred_action& action);
   void RunDeferred();
   void ReplyError(call_number call, errc code, std::string_view detail = {});
-  void SetTimer(time_point at, timer_kind kind, const attempt_id& id);
+  void SetTimer(time_point at, partition_timer_kind kind, const attempt_id& id);
   void FireTimers();
-  void Fire(const timer& timer);
+  void Fire(const partition_timer& timer);
   void ExpireAfter(const job_id& id, duration retention);
-  void Expire(const timer& timer);
+  void Expire(const partition_timer& timer);
   void DropUnanswerableCalls();
   void EmitSnapshotIfDue();
   const environment_document* Document(const environment_id& environment) const;
@@ -192,8 +193,8 @@
   void ArmSilence(const job_row& job, live_attempt& live, const attempt_id& id);
   void SetResolve(live_attempt& live, const attempt_id& id, duration delay);
   void AskHost(const job_row& job, live_attempt& live, const attempt_id& id, std::uint64_t after);
-  void Resolve(const timer& timer);
-  void CheckSilence(const timer& timer);
+  void Resolve(const partition_timer& timer);
+  void CheckSilence(const partition_timer& timer);
 
   // partition_keys.cc
   void On(const keyed_request_arrived& event);
@@ -214,7 +215,7 @@
   // Ends a request that did not run and never will; a later call may run its key.
   void DropRequest(const job_id& id);
   void ExpireCalls(live_request& live);
-  void OnRequestTimer(const timer& timer);
+  void OnRequestTimer(const partition_timer& timer);
   void VoidRequest(live_request& live);
   void ResumeRequest(const key_row& row);
   void ReplyAll(live_request& live, errc code, std::string_view answer);
@@ -255,7 +256,7 @@
   std::unordered_map<job_id, time_point> expire_at;
   // By the sequence that each waits for.
   std::multimap<std::uint64_t, deferred_action> deferred;
-  std::priority_queue<timer, std::vector<timer>, std::greater<>> timers;
+  std::priority_queue<partition_timer, std::vector<partition_timer>, std::greater<>> timers;
   std::map<environment_id, std::shared_ptr<const environment_document>> documents;
 
   // Time and output of the event in hand.
