--- a/packages/testing/include/sycamorehinge/testing/load_runner.h
+++ b/packages/testing/include/sycamorehinge/testing/load_runner.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -54,6 +55,9 @@
   struct accepted_job {
     std::string job;
     bool cancel_at_end = false;
+    // Queries so far; each goes to the next entry.
+    std::uint32_t queries = 0;
+    job_seen last;
   };
 
   void SendAll(time_point start);
@@ -64,11 +68,11 @@
   bool MayRetry(const conclusion& last, std::uint32_t attempt);
 
   void FollowJobs(time_point until);
-  void Follow(const accepted_job& accepted, std::uint64_t number, caller_client& client,
-              time_point until);
+  // Asks once; true if nothing more is to be learnt.
+  bool Follow(accepted_job& accepted, caller_client& client, time_point until);
   void Cancel(const std::string& job, std::uint64_t number, caller_client& client);
   // State of the job at the entry; nullopt if the entry gave none.
-  std::optional<job_seen> Ask(const std::string& job, const std::string& entry,
+  std::optional<job_seen> Ask(const std::string& job, const std::string& entry, duration wait,
                               caller_client& client);
   void Watch();
   void Record(event_body body) { history_->Write({MonotonicNow(), std::move(body)}); }
@@ -82,8 +86,7 @@
   double measured_rate_ = 0;
 
   std::mutex jobs_mutex_;
-  std::vector<accepted_job> jobs_;
-  std::atomic<std::size_t> next_job_ = 0;
+  std::deque<accepted_job> jobs_;
 
   std::mutex end_mutex_;
   std::condition_variable ended_changed_;
--- a/packages/testing/src/load_jobs.cc
+++ b/packages/testing/src/load_jobs.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Longest wait of one status query.
-constexpr duration kStatusWait = std::chrono::seconds(2);
+// Longest wait of one status query; short, so that jobs that do not end delay others little.
+constexpr duration kStatusWait = std::chrono::milliseconds(500);
 // Pause before a job that no entry knows is asked for again: partitions move within seconds.
 constexpr duration kAskAgain = std::chrono::milliseconds(500);
 constexpr duration kWatchInterval = std::chrono::milliseconds(250);
@@ -22,23 +22,29 @@
 void load_runner::FollowJobs(time_point until) {
   caller_client client(options_.caller_token);
   while (true) {
-    const std::size_t number = next_job_++;
     accepted_job accepted;
     {
       const std::lock_guard lock(jobs_mutex_);
-      if (number >= jobs_.size()) return;
-      accepted = jobs_[number];
+      if (jobs_.empty()) return;
+      accepted = std::move(jobs_.front());
+      jobs_.pop_front();
     }
-    Follow(accepted, number, client, until);
+    if (!Follow(accepted, client, until)) {
+      const std::lock_guard lock(jobs_mutex_);
+      jobs_.push_back(std::move(accepted));
+      continue;
+    }
+    stats_.Add("jobs_" + accepted.last.state);
+    if (accepted.last.state == "failed") stats_.Add("job_error_" + accepted.last.error);
+    Record(std::move(accepted.last));
   }
 }
 
 std::optional<job_seen> load_runner::Ask(const std::string& job, const std::string& entry,
-                                         caller_client& client) {
+                                         duration wait, caller_client& client) {
   caller_call call;
   call.method = "GET";
-  call.path =
-      "/v1/jobs/" + job + "?wait_ms=" + std::to_string(kStatusWait / std::chrono::milliseconds(1));
+  call.path = "/v1/jobs/" + job + "?wait_ms=" + std::to_string(wait / std::chrono::milliseconds(1));
   call.timeout = options_.timeout;
   const caller_reply reply = client.Call(entry, call);
   if (reply.end != call_end::kAnswered) return std::nullopt;
@@ -47,24 +53,27 @@
   return std::nullopt;
 }
 
-// Asks all entries in turn until one reports the job's end. A job counts as unknown or unreachable
-// only if that is what the entries say when the time is over.
-void load_runner::Follow(const accepted_job& accepted, std::uint64_t number, caller_client& client,
-                         time_point until) {
-  if (accepted.cancel_at_end) Cancel(accepted.job, number, client);
-  job_seen last{accepted.job, "unreachable", ""};
-  // The first job of a thread gets a look even if the time is over.
-  for (std::uint32_t attempt = 0; attempt == 0 || MonotonicNow() < until; ++attempt) {
-    const auto seen = Ask(accepted.job, EntryFor(number, attempt), client);
-    if (seen && (seen->state != "unknown_job" || last.state == "unreachable")) last = *seen;
-    if (IsFinal(last)) break;
-    if (!seen || seen->state == "unknown_job") {
-      if (!SleepUntil(MonotonicNow() + kAskAgain)) break;
+// Before the time is over only an end counts. Then all entries are asked once more, and what was
+// seen earlier does not: a job that was running and is now known to no entry is lost.
+bool load_runner::Follow(accepted_job& accepted, caller_client& client, time_point until) {
+  const std::uint64_t first = StableHash(accepted.job);
+  if (accepted.queries == 0 && accepted.cancel_at_end) Cancel(accepted.job, first, client);
+  if (MonotonicNow() < until) {
+    const std::string& entry = EntryFor(first, accepted.queries++);
+    const auto seen = Ask(accepted.job, entry, kStatusWait, client);
+    if (seen && IsFinal(*seen)) {
+      accepted.last = *seen;
+      return true;
     }
+    if (!seen || seen->state == "unknown_job") (void)SleepUntil(MonotonicNow() + kAskAgain);
+    return false;
+  }
+  for (std::size_t i = 0; i < options_.entries.size(); ++i) {
+    const auto seen = Ask(accepted.job, options_.entries[i], duration::zero(), client);
+    if (seen) accepted.last = *seen;
+    if (seen && seen->state != "unknown_job") break;
   }
-  stats_.Add("jobs_" + last.state);
-  if (last.state == "failed") stats_.Add("job_error_" + last.error);
-  Record(std::move(last));
+  return true;
 }
 
 void load_runner::Cancel(const std::string& job, std::uint64_t number, caller_client& client) {
--- a/packages/testing/src/load_runner.cc
+++ b/packages/testing/src/load_runner.cc
@@ -145,7 +145,8 @@
   if (id.empty()) return;
   if (job.cancel) Cancel(id, number, client);
   const std::lock_guard lock(jobs_mutex_);
-  jobs_.push_back({id, job.kind == job_kind::kService && !job.cancel});
+  const bool cancel_at_end = job.kind == job_kind::kService && !job.cancel;
+  jobs_.push_back({id, cancel_at_end, 0, {id, "unreachable", ""}});
 }
 
 }  // namespace sycamorehinge::testing
