--- a/packages/core/src/pool_state.h
+++ b/packages/core/src/pool_state.h
@@ -39,11 +39,11 @@
 enum class wait_reason { kNone, kQuota, kLimit, kShare, kRoom, kBackoff };
 
 struct pool::state {
-  explicit state(pool_options pool_options_)
-      : options(pool_options_),
-        queue(pool_options_.order),
-        ejection(pool_options_.eject_failing_hosts),
-        random(pool_options_.seed) {}
+  explicit state(const pool_options& given)
+      : options(given),
+        queue(given.order),
+        ejection(given.eject_failing_hosts),
+        random(given.seed) {}
 
   // Events, in pool.cc.
   void On(const host_claimed& event, time_point now, std::vector<pool_action>& out);
@@ -57,6 +57,7 @@
   void On(const hold_confirmed& event, time_point now, std::vector<pool_action>& out);
   void On(const hold_released& event, time_point now, std::vector<pool_action>& out);
   void On(const rules_changed& event, time_point now, std::vector<pool_action>& out);
+  void On(const room_elsewhere& event, time_point now, std::vector<pool_action>& out);
   void On(const pool_tick& event, time_point now, std::vector<pool_action>& out);
 
   // Hosts, in pool_hosts.cc.
@@ -85,6 +86,7 @@
   bool TryQueued(queue_slot slot, time_point now, std::vector<pool_action>& out);
   void Dispatch(time_point now, std::vector<pool_action>& out);
   queue_item EntryOf(const work_item& item, time_point now);
+  std::vector<host_slot> HostsToAvoid(const work_item& item) const;
   errc CheckOffer(const queue_item& entry, time_point now) const;
   void Enqueue(queue_item entry, time_point now);
   void Dequeue(queue_slot slot);
@@ -107,7 +109,16 @@
   bool HasDrain(queue_slot slot) const;
   bool MayDrain(const queue_item& entry) const;
   void AddDrain(queue_slot slot, bool gang, std::span<const host_slot> hosts, time_point until);
-  bool EmptiesSoon(host_slot host, time_point now) const;
+  struct drain_candidate {
+    // Share of the host's room for such tasks that is free.
+    double free = 0;
+    host_slot host = 0;
+    // Tasks that the empty host holds.
+    std::int64_t tasks = 0;
+    time_point empty;
+  };
+  time_point EmptyAt(host_slot host, time_point now) const;
+  std::vector<drain_candidate> DrainCandidates(const resources& size) const;
   std::vector<host_slot> HostsToDrain(const queue_item& entry, time_point now) const;
   bool IsLarge(const resources& size) const;
   std::size_t DrainableHosts() const;
@@ -137,6 +148,8 @@
 
   // Capacities of claimed hosts and how many hosts have each.
   std::vector<std::pair<resources, int>> shapes;
+  // Largest host of other processes; the zero value if none is known.
+  resources elsewhere;
   std::vector<host_drain> drains;
   std::vector<std::uint8_t> drained;
   // Gangs whose drain starts when the current one ends, and their generations.
--- a/packages/core/src/pool_timers.cc
+++ b/packages/core/src/pool_timers.cc
@@ -6,9 +6,10 @@
 
 namespace {
 
-// Peers are asked again after 8 times the previous wait, at most every 20 s.
+// Peers are asked again after 8 times the previous wait, at most every 2 s: urgent work must start
+// within 2.3 s, also where only a peer has room.
 constexpr int kOverflowFactor = 8;
-constexpr duration kMaxOverflowGap = std::chrono::seconds(20);
+constexpr duration kMaxOverflowGap = std::chrono::seconds(2);
 // Hosts are claimed one by one, so work that no known host could hold is refused only after the
 // claims of a start or takeover have been made.
 constexpr duration kFitsNowhereAfter = std::chrono::seconds(10);
@@ -41,6 +42,8 @@
     return;
   }
   out.emplace_back(overflow_wanted{entry.item, waited});
+  // Hosts may have left since the work was offered.
+  if (!entry.avoid.empty()) entry.avoid = HostsToAvoid(entry.item);
   const duration gap = std::max(options.overflow_after, waited * (kOverflowFactor - 1));
   entry.next_overflow = now + std::clamp(gap, duration(1000), kMaxOverflowGap);
   timers.Push({entry.next_overflow, timer_kind::kOverflow, slot, entry.generation});
