--- a/packages/net/tests/peer_test.cc
+++ b/packages/net/tests/peer_test.cc
@@ -53,6 +53,11 @@
     address_.port = transport->Port();
   }
 
+  // The handlers use the members that are destroyed before the transport.
+  ~peer_process() { transport->Stop(); }
+  peer_process(const peer_process&) = delete;
+  peer_process& operator=(const peer_process&) = delete;
+
   const peer_address& Address() const { return address_; }
 
   template <class Condition>
