--- a/packages/core/src/pool_timers.cc
+++ b/packages/core/src/pool_timers.cc
@@ -6,12 +6,15 @@
 
 namespace {
 
-// Peers are asked again after 8 times the previous wait, at most every 20 s.
+// Peers are asked again after 8 times the previous wait, at most every 2 s: urgent work must start
+// within 2.3 s, also where only a peer has room.
 constexpr int kOverflowFactor = 8;
-constexpr duration kMaxOverflowGap = std::chrono::seconds(20);
+constexpr duration kMaxOverflowGap = std::chrono::seconds(2);
 // Hosts are claimed one by one, so work that no known host could hold is refused only after the
 // claims of a start or takeover have been made.
 constexpr duration kFitsNowhereAfter = std::chrono::seconds(10);
+// Timers of one tick; the rest is due at once, so that one decision stays short.
+constexpr int kMaxTimers = 32;
 constexpr std::size_t kMinCompaction = 256;
 
 }  // namespace
@@ -39,6 +42,8 @@
     return;
   }
   out.emplace_back(overflow_wanted{entry.item, waited});
+  // Hosts may have left since the work was offered.
+  if (!entry.avoid.empty()) entry.avoid = HostsToAvoid(entry.item);
   const duration gap = std::max(options.overflow_after, waited * (kOverflowFactor - 1));
   entry.next_overflow = now + std::clamp(gap, duration(1000), kMaxOverflowGap);
   timers.Push({entry.next_overflow, timer_kind::kOverflow, slot, entry.generation});
@@ -68,7 +73,9 @@
 }
 
 void pool::state::On(const pool_tick&, time_point now, std::vector<pool_action>& out) {
-  while (!timers.Empty() && timers.Top().at <= now) RunTimer(timers.Pop(), now, out);
+  for (int run = 0; run < kMaxTimers && !timers.Empty() && timers.Top().at <= now; ++run) {
+    RunTimer(timers.Pop(), now, out);
+  }
   EndLateDrains(now);
   std::vector<host_slot> reinstated;
   ejection.Tick(now, reinstated);
--- a/packages/node/src/entry_node.cc
+++ b/packages/node/src/entry_node.cc
@@ -24,7 +24,7 @@
 }
 
 entry_node::entry_node(node_options options, ports port, node_observer observer)
-    : parts_(std::make_unique<parts>(std::move(options), std::move(port), std::move(observer))) {}
+    : parts_(std::make_unique<parts>(std::move(options), std::move(port), observer)) {}
 
 entry_node::~entry_node() { Stop(); }
 
@@ -35,6 +35,7 @@
   p.claims.Tick(now);
   p.partitions.Tick(now);
   p.alive.Tick(now);
+  p.pools.LearnPeers(p.alive.Alive());
   p.peers.Tick(now);
   for (const keyed_call& late : p.keyed_calls.TakeExpired(now)) {
     request_answer answer;
