--- a/packages/node/src/partition_runner.cc
+++ b/packages/node/src/partition_runner.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::uint32_t kPageEntries = 256;
+// Keeps a batch with payloads of 1 KB below the largest message of 4 MiB.
+constexpr std::size_t kMaxBatchRecords = 2000;
 constexpr duration kRetryLog = std::chrono::milliseconds(500);
 // An owner appends a keepalive every 5 s, so three are missing.
 constexpr duration kSilenceBeforeTakeover = std::chrono::seconds(15);
@@ -294,15 +296,24 @@
   }
 }
 
+record_batch partition_runner::TakeBatch(state& s) {
+  const std::size_t count = std::min(s.pending.size(), kMaxBatchRecords);
+  const auto end = s.pending.begin() + static_cast<std::ptrdiff_t>(count);
+  record_batch batch{s.core.Epoch(), s.pending_first, {}};
+  batch.records.assign(std::make_move_iterator(s.pending.begin()), std::make_move_iterator(end));
+  s.pending.erase(s.pending.begin(), end);
+  s.pending_first += count;
+  return batch;
+}
+
 void partition_runner::Flush() {
   std::uint64_t generation = 0;
   Apply([&](state& s, std::vector<delivery>&) {
     s.flush_scheduled = false;
     if (s.appending || s.pending.empty()) return;
     if (s.now != phase::kOwner && s.now != phase::kRetiring) return;
-    record_batch batch{s.core.Epoch(), s.pending_first, std::move(s.pending)};
-    s.sending_last = s.pending_first + batch.records.size() - 1;
-    s.pending.clear();
+    record_batch batch = TakeBatch(s);
+    s.sending_last = batch.first_sequence + batch.records.size() - 1;
     s.sending = EncodeBatch(batch);
     s.appending = true;
     generation = s.generation;
--- a/packages/node/src/partition_runner.h
+++ b/packages/node/src/partition_runner.h
@@ -85,6 +85,7 @@
   // --- group commit ---
   void ScheduleFlush();
   void Flush();
+  static record_batch TakeBatch(state& s);
   void Send(std::uint64_t generation);
   void OnAppended(std::uint64_t generation, const result<std::uint64_t>& offset);
   void OnDurable(state& s, std::uint64_t offset, std::vector<delivery>& out);
--- a/packages/node/src/pool_set.cc
+++ b/packages/node/src/pool_set.cc
@@ -203,12 +203,8 @@
   for (const pool_shard* shard : Shards()) {
     all.push_back(shard->View([](const pool_state& s) {
       pool_summary summary = s.core.Summary();
-      pool_load load{s.key.environment,
-                     s.key.service,
-                     summary.capacity - summary.taken,
-                     summary.largest_free,
-                     summary.largest_host,
-                     {}};
+      pool_load load{s.key.environment,    s.key.service,        summary.capacity - summary.taken,
+                     summary.largest_free, summary.largest_host, {}};
       for (const class_summary& each : summary.classes) {
         load.expected_wait = std::max(load.expected_wait, each.expected_wait);
       }
