--- a/packages/entry/src/entry_process.cc
+++ b/packages/entry/src/entry_process.cc
@@ -55,7 +55,9 @@
 void WritePools(const node_summary& summary, exposition& page) {
   constexpr std::string_view kName = "sycamorehinge_pool_share_taken";
   page.Family(kName, metric_kind::kGauge, "Share of the room of a pool that is taken, 0 to 1");
-  for (const auto& [load, pool] : summary.pools) {
+  for (const auto& each : summary.pools) {
+    const pool_load& load = each.first;
+    const pool_summary& pool = each.second;
     const auto share = [](std::int64_t taken, std::int64_t capacity) {
       return capacity == 0 ? 0.0 : static_cast<double>(taken) / static_cast<double>(capacity);
     };
--- a/packages/node/src/document_store.cc
+++ b/packages/node/src/document_store.cc
@@ -137,7 +137,7 @@
   parts_.peers.Send(peer, config_fetch{});
 }
 
-void document_store::Propose(config_record record,
+void document_store::Propose(const config_record& record,
                              std::function<void(const proposal_answer&)> reply) {
   const result<environment_document> document = parts_.options.parse_document(record.text);
   if (!document) {
@@ -146,8 +146,8 @@
   }
   const config_key key{record.environment, record.stage};
   parts_.port.append(kConfigStream, EncodeConfig(record),
-                     [this, key, reply = std::move(reply)](result<std::uint64_t> offset) mutable {
-                       OnAppended(key, std::move(reply), offset);
+                     [this, key, reply = std::move(reply)](const result<std::uint64_t>& offset) {
+                       OnAppended(key, reply, offset);
                      });
 }
 
@@ -202,12 +202,13 @@
 
 void document_store::Restate(time_point) {
   // One process is enough: the one that the hash prefers.
-  if (parts_.alive.PreferredOwner(0, parts_.options.where.region) != parts_.options.self) return;
+  const region_id region = RegionOfPartition(0, parts_.options.regions);
+  if (parts_.alive.PreferredOwner(0, region) != parts_.options.self) return;
   const config_state current = State();
   for (const auto& [key, version] : current.documents) {
     config_record record{key.environment, key.stage,    version.base,   version.version,
                          version.author,  version.text, version.wall_ms};
-    parts_.port.append(kConfigStream, EncodeConfig(record), [](result<std::uint64_t>) {});
+    parts_.port.append(kConfigStream, EncodeConfig(record), [](const result<std::uint64_t>&) {});
   }
 }
 
--- a/packages/node/src/document_store.h
+++ b/packages/node/src/document_store.h
@@ -22,7 +22,7 @@
   void Tick(time_point now);
   // A peer knows a newer version: read now, or take it from the peer if the log is down.
   void NewerVersionAt(const process_id& peer, std::uint64_t version);
-  void Propose(config_record record, std::function<void(const proposal_answer&)> reply);
+  void Propose(const config_record& record, std::function<void(const proposal_answer&)> reply);
   void Merge(const config_state& state);
   config_state State() const;
 
--- a/packages/node/src/entry_node.cc
+++ b/packages/node/src/entry_node.cc
@@ -93,7 +93,7 @@
 
 void entry_node::Propose(config_record record, std::function<void(const proposal_answer&)> reply) {
   record.wall_ms = parts_->port.wall_ms();
-  parts_->documents.Propose(std::move(record), std::move(reply));
+  parts_->documents.Propose(record, std::move(reply));
 }
 
 std::optional<config_version> entry_node::InForce(const config_key& key) const {
--- a/packages/node/src/host_claims.h
+++ b/packages/node/src/host_claims.h
@@ -133,8 +133,7 @@
   // Asks the host what became of an attempt until it answers; frees the room then.
   void Resolve(const host_id& host, const attempt_id& id, std::uint64_t term, std::uint32_t tries,
                std::function<void(attempt_fact, std::string)> handler);
-  // Forgets a task that was never sent to the host.
-  void Drop(const host_id& host, const attempt_id& id);
+  std::optional<listed_host> Admit(const placement& place, held_work work);
   // The attempt left the host: frees its room in the pool.
   void Forget(const host_id& host, const attempt_id& id, finish_kind outcome);
   void FinishInPool(const listed_host& row, const attempt_id& id, finish_kind outcome,
--- a/packages/node/src/host_tasks.cc
+++ b/packages/node/src/host_tasks.cc
@@ -43,29 +43,30 @@
 
 }  // namespace
 
-void host_claims::Start(const attempt_id& id, const placement& place, const job_spec& spec) {
+// Notes the task under the claim of `place` and confirms its room. Nullopt if the claim or the room
+// is gone: no start under that term and reservation may be sent then.
+std::optional<listed_host> host_claims::Admit(const placement& place, held_work work) {
   std::optional<listed_host> row;
-  Shard(place.host)
-      .Apply(
-          [&](claim_table& table, std::vector<notice>&) {
-            const auto found = table.hosts.find(place.host);
-            if (found == table.hosts.end()) return;
-            claim_entry& entry = found->second;
-            if (!entry.held || entry.term != place.term) return;
-            row = entry.row;
-            claimed_task& task = entry.tasks[id];
-            task.work = {id, spec.tenant, spec.work_class, spec.size, spec.preemptible};
-            task.kept = true;
-            task.reported = parts_.Now();
-          },
-          Deliver);
+  const attempt_id id = work.id;
+  OnEntry(place.host, [&](claim_entry& entry, std::vector<notice>&) {
+    if (!entry.held || entry.term != place.term) return;
+    row = entry.row;
+    claimed_task& task = entry.tasks[id];
+    task.work = std::move(work);
+    task.kept = true;
+    task.started = parts_.Now();
+    task.contact = task.started;
+    task.reported = task.started;
+  });
+  if (!row || parts_.pools.Confirm(KeyOf(*row), id, place)) return row;
+  OnEntry(place.host, [&](claim_entry& entry, std::vector<notice>&) { entry.tasks.erase(id); });
+  return std::nullopt;
+}
+
+void host_claims::Start(const attempt_id& id, const placement& place, const job_spec& spec) {
+  const std::optional<listed_host> row =
+      Admit(place, {id, spec.tenant, spec.work_class, spec.size, spec.preemptible});
   if (!row) {
-    // The claim of the reservation is gone, so no start under its term can take effect.
-    Report(id, place.host, place.term, attempt_fact::kNever);
-    return;
-  }
-  if (!parts_.pools.Confirm(KeyOf(*row), id, place)) {
-    Drop(place.host, id);
     Report(id, place.host, place.term, attempt_fact::kNever);
     return;
   }
@@ -73,9 +74,10 @@
       parts_.options.self, place.term,       id,        spec.tenant,
       spec.work_class,     spec.preemptible, spec.size, parts_.options.claims.task_lease,
       spec.run_time,       spec.payload};
-  parts_.port.call_host(
-      *row, std::move(call),
-      [this, row = *row, id, term = place.term](auto answer) { OnStarted(row, id, term, answer); });
+  parts_.port.call_host(*row, std::move(call),
+                        [this, row = *row, id, term = place.term](const auto& answer) {
+                          OnStarted(row, id, term, answer);
+                        });
 }
 
 void host_claims::OnStarted(const listed_host& row, const attempt_id& id, std::uint64_t term,
@@ -89,33 +91,15 @@
 
 void host_claims::Execute(const attempt_id& id, const placement& place,
                           const caller_request& request, execute_handler handler) {
-  std::optional<listed_host> row;
-  Shard(place.host)
-      .Apply(
-          [&](claim_table& table, std::vector<notice>&) {
-            const auto found = table.hosts.find(place.host);
-            if (found == table.hosts.end()) return;
-            claim_entry& entry = found->second;
-            if (!entry.held || entry.term != place.term) return;
-            row = entry.row;
-            claimed_task& task = entry.tasks[id];
-            task.work = {id, request.tenant, request.work_class, {0, 0, 0, 1}, false};
-            task.kept = true;
-            task.reported = parts_.Now();
-          },
-          Deliver);
+  const std::optional<listed_host> row =
+      Admit(place, {id, request.tenant, request.work_class, {0, 0, 0, 1}, false});
   if (!row) {
     handler({errc::kStaleTerm, attempt_fact::kNever, {}});
     return;
   }
-  if (!parts_.pools.Confirm(KeyOf(*row), id, place)) {
-    Drop(place.host, id);
-    handler({errc::kNoRoom, attempt_fact::kNever, {}});
-    return;
-  }
   parts_.port.call_host(
       *row, execute_call{place.term, id, request.key, request.time_left, request.body},
-      [this, row = *row, id, term = place.term, handler = std::move(handler)](auto answer) {
+      [this, row = *row, id, term = place.term, handler = std::move(handler)](const auto& answer) {
         OnExecuted(row, id, term, answer, handler);
       });
 }
@@ -254,10 +238,6 @@
   if (row) parts_.pools.Handle(KeyOf(*row), hold_released{id});
 }
 
-void host_claims::Drop(const host_id& host, const attempt_id& id) {
-  OnEntry(host, [&](claim_entry& entry, std::vector<notice>&) { entry.tasks.erase(id); });
-}
-
 void host_claims::Forget(const host_id& host, const attempt_id& id, finish_kind outcome) {
   std::optional<listed_host> row;
   claimed_task task;
--- a/packages/node/src/partition_set.cc
+++ b/packages/node/src/partition_set.cc
@@ -10,7 +10,6 @@
 
 // Time that a call waits for a partition that is between two owners: a takeover is done in 3 s.
 constexpr duration kOwnerWait = std::chrono::seconds(5);
-constexpr duration kOwnerRetry = std::chrono::milliseconds(100);
 // Longest wait that the HTTP interface grants to a status call.
 constexpr duration kLongestJobWait = std::chrono::seconds(25);
 
@@ -150,17 +149,13 @@
       [this, partition, question, give_up, reply = std::move(reply)](errc code,
                                                                      const peer_message* message) {
         const auto* answer = message == nullptr ? nullptr : std::get_if<job_answer>(message);
-        const bool moved = answer == nullptr ? code == errc::kConnectionFailed
-                                             : answer->code == errc::kHomeUnreachable ||
-                                                   answer->code == errc::kNotOwner;
+        const bool moved = MayRouteAgain(code, answer == nullptr ? nullptr : &answer->code);
         if (moved && parts_.Now() < give_up) {
           RouteLater(partition, question, give_up, reply);
         } else if (answer != nullptr) {
           reply(*answer);
-        } else if (code == errc::kConnectionFailed) {
-          reply(Refusal(errc::kHomeUnreachable));
         } else {
-          reply(Refusal(errc::kOutcomeUnknown, "ask again with the same key"));
+          reply(Refusal(RefusalOfUnanswered(code), "ask again with the same key"));
         }
       });
 }
--- a/packages/node/src/request_runner.cc
+++ b/packages/node/src/request_runner.cc
@@ -6,9 +6,6 @@
 
 namespace {
 
-// Interval at which a request looks again for the owner of its partition.
-constexpr duration kOwnerRetry = std::chrono::milliseconds(100);
-
 request_answer Refusal(errc code, std::string detail = {}, duration retry_after = {}) {
   request_answer answer;
   answer.code = code;
@@ -129,9 +126,7 @@
       owner, forward_request{0, std::move(copy)}, deadline,
       [this, request, reply = std::move(reply), deadline](errc code, const peer_message* message) {
         const auto* answer = message == nullptr ? nullptr : std::get_if<request_answer>(message);
-        const bool moved = answer == nullptr ? code == errc::kConnectionFailed
-                                             : answer->code == errc::kHomeUnreachable ||
-                                                   answer->code == errc::kNotOwner;
+        const bool moved = MayRouteAgain(code, answer == nullptr ? nullptr : &answer->code);
         const time_point again = parts_.Now() + kOwnerRetry;
         if (moved && again < deadline) {
           // Nothing was sent or nothing ran there: the partition has moved.
@@ -139,10 +134,8 @@
                     [this, request, reply, deadline] { RunKeyed(request, reply, true, deadline); });
         } else if (answer != nullptr) {
           reply(*answer);
-        } else if (code == errc::kConnectionFailed) {
-          reply(Refusal(errc::kHomeUnreachable));
         } else {
-          reply(Refusal(errc::kOutcomeUnknown, "ask again with the same key"));
+          reply(Refusal(RefusalOfUnanswered(code), "ask again with the same key"));
         }
       });
 }
