--- a/packages/node/src/host_claims.h
+++ b/packages/node/src/host_claims.h
@@ -132,7 +132,7 @@
                   const result<host_answer>& answer, const execute_handler& handler);
   // Asks the host what became of an attempt until it answers; frees the room then.
   void Resolve(const host_id& host, const attempt_id& id, std::uint64_t term, std::uint32_t tries,
-               std::function<void(attempt_fact, std::string)> handler);
+               const std::function<void(attempt_fact, std::string)>& handler);
   std::optional<listed_host> Admit(const placement& place, held_work work);
   // The attempt left the host: frees its room in the pool.
   void Forget(const host_id& host, const attempt_id& id, finish_kind outcome);
--- a/packages/node/src/host_tasks.cc
+++ b/packages/node/src/host_tasks.cc
@@ -127,7 +127,7 @@
 
 void host_claims::Resolve(const host_id& host, const attempt_id& id, std::uint64_t term,
                           std::uint32_t tries,
-                          std::function<void(attempt_fact, std::string)> handler) {
+                          const std::function<void(attempt_fact, std::string)>& handler) {
   const std::optional<listed_host> row = Find(host);
   if (!row || tries >= kMostResolves) {
     if (handler) handler(attempt_fact::kUnreachable, {});
--- a/packages/node/tests/node_test.cc
+++ b/packages/node/tests/node_test.cc
@@ -178,6 +178,7 @@
   node_world world({});
   world.Boot();
   std::vector<std::shared_ptr<request_answer>> answers;
+  answers.reserve(8);
   for (int i = 0; i < 8; ++i) answers.push_back(world.Send(1, "", "hello"));
   bool drained = false;
   world.Node(1).Drain(seconds(30), [&] { drained = true; });
--- a/packages/node/tests/node_world.cc
+++ b/packages/node/tests/node_world.cc
@@ -251,8 +251,8 @@
   return out;
 }
 
-void node_world::Answer(std::size_t node, completion<host_answer> done, result<host_answer> answer,
-                        bool may_lose) {
+void node_world::Answer(std::size_t node, const completion<host_answer>& done,
+                        const result<host_answer>& answer, bool may_lose) {
   if (may_lose && lose_answers_ > 0) {
     --lose_answers_;
     For(node, kHostTimeout, [done] { done({errc::kTimeout, ""}); });
@@ -273,14 +273,14 @@
     return;
   }
   const bool start = std::holds_alternative<start_call>(call);
-  Answer(node, std::move(done), Perform(*host.model, call, now_), start);
+  Answer(node, done, Perform(*host.model, call, now_), start);
 }
 
 void node_world::Execute(std::size_t node, hosted& host, const execute_call& call,
                          completion<host_answer> done) {
   const auto reply = host.model->Execute({call.term, call.id, call.key, call.body}, now_);
   if (const auto* code = std::get_if<errc>(&reply)) {
-    Answer(node, std::move(done), Done(*code), false);
+    Answer(node, done, Done(*code), false);
     return;
   }
   const auto* pending = std::get_if<testing::execute_pending>(&reply);
--- a/packages/node/tests/node_world.h
+++ b/packages/node/tests/node_world.h
@@ -92,8 +92,8 @@
                 completion<host_answer> done);
   void Execute(std::size_t node, hosted& host, const execute_call& call,
                completion<host_answer> done);
-  void Answer(std::size_t node, completion<host_answer> done, result<host_answer> answer,
-              bool may_lose);
+  void Answer(std::size_t node, const completion<host_answer>& done,
+              const result<host_answer>& answer, bool may_lose);
   void Deliver(std::size_t from, const process_id& to, work event);
   std::size_t IndexOf(const process_id& process) const;
 
