--- a/packages/entry/src/entry_process.cc
+++ b/packages/entry/src/entry_process.cc
@@ -165,7 +165,9 @@
     node_->OnPeerMessage(from, message);
   };
   handlers.on_heartbeat = [this](const process_status& status) {
-    if (node_->OnHeartbeat(status) == errc::kDuplicateName) stop_(errc::kDuplicateName);
+    if (node_->OnHeartbeat(status) != errc::kDuplicateName) return;
+    events_.Write(event_number::kDuplicateName, {{"process", status.process.value}});
+    stop_(errc::kDuplicateName);
   };
   handlers.on_fault = [this](const peer_fault& fault) { ReportFault(fault); };
   handlers.on_link = [this](const process_id& peer, bool connected) {
--- a/packages/node/src/host_claims.cc
+++ b/packages/node/src/host_claims.cc
@@ -58,6 +58,7 @@
       OnList(*rows);
       return;
     }
+    parts_.Event(event_number::kHostListUnavailable, {{"error", ErrorName(rows.code())}});
     const std::lock_guard lock(list_mutex_);
     next_list_ = parts_.Now() + kReportAgain;
   });
@@ -157,6 +158,8 @@
 // The leases of all tasks have lapsed by the host's clock: nothing of them runs any more, unless
 // another process claimed the host, which the recorded term of the attempt shows.
 void host_claims::ReportLost(claim_entry& entry, std::vector<notice>& out) {
+  parts_.Event(event_number::kHostLost,
+               {{"host", entry.row.host.value}, {"tasks", std::uint64_t{entry.tasks.size()}}});
   for (const auto& [id, task] : entry.tasks) {
     if (IsRequest(id)) continue;
     out.push_back([this, id = id, term = entry.term] {
@@ -213,6 +216,8 @@
 // A new claim: what the host runs now is the truth, and each task needs its owner's consent.
 void host_claims::AdoptHost(claim_entry& entry, const claim_granted& granted,
                             std::vector<notice>& out) {
+  parts_.Event(event_number::kHostClaimed,
+               {{"host", entry.row.host.value}, {"term", granted.term}});
   entry.held = true;
   entry.term = granted.term;
   entry.leaving = granted.leaving;
--- a/packages/node/src/partition_runner.cc
+++ b/packages/node/src/partition_runner.cc
@@ -340,7 +340,11 @@
       ++s.failures;
       // One lost answer is no outage.
       const bool down = offset.code() == errc::kLogUnavailable || s.failures >= kFailuresOfOutage;
-      if (down && offset.code() != errc::kOverloaded) Step(s, log_availability{false}, out);
+      if (down && offset.code() != errc::kOverloaded) {
+        if (!s.log_down) ReportLog(event_number::kLogUnavailable);
+        s.log_down = true;
+        Step(s, log_availability{false}, out);
+      }
       wait = s.failures >= kFailuresOfOutage ? kRetryLog : kRetryAppend;
       return;
     }
@@ -358,10 +362,17 @@
   if (gap) ReadGap(generation, *offset);
 }
 
+void partition_runner::ReportLog(event_number number) const {
+  const std::string stream = Stream();
+  parts_.Event(number, {{"stream", stream}});
+}
+
 void partition_runner::OnDurable(state& s, std::uint64_t offset, std::vector<delivery>& out) {
   s.next_offset = offset + 1;
   s.appending = false;
   s.failures = 0;
+  if (s.log_down) ReportLog(event_number::kLogAvailable);
+  s.log_down = false;
   s.sending.clear();
   s.durable = s.sending_last;
   Step(s, log_availability{true}, out);
--- a/packages/node/src/partition_runner.h
+++ b/packages/node/src/partition_runner.h
@@ -49,6 +49,7 @@
     bool appending = false;
     // Appends in a row without an answer.
     std::uint32_t failures = 0;
+    bool log_down = false;
     std::string sending;
     std::uint64_t sending_last = 0;
     bool flush_scheduled = false;
@@ -90,6 +91,7 @@
   void Send(std::uint64_t generation);
   void OnAppended(std::uint64_t generation, const result<std::uint64_t>& offset);
   void OnDurable(state& s, std::uint64_t offset, std::vector<delivery>& out);
+  void ReportLog(event_number number) const;
   void ReadGap(std::uint64_t generation, std::uint64_t offset);
   void OnGap(std::uint64_t generation, std::uint64_t offset, const result<log_page>& page);
 
--- a/packages/node/src/request_runner.cc
+++ b/packages/node/src/request_runner.cc
@@ -63,8 +63,12 @@
   ++in_flight_;
   parts_.Count(work_count::kAccepted, request.tenant, request.work_class);
   auto counted = [this, reply = std::move(reply), tenant = request.tenant,
-                  work_class = request.work_class](const request_answer& answer) {
+                  work_class = request.work_class,
+                  trace = request.trace](const request_answer& answer) {
     parts_.Count(CountOf(answer.code), tenant, work_class);
+    if (answer.code == errc::kOutcomeUnknown) {
+      parts_.Event(event_number::kOutcomeUnknown, {{"tenant", tenant.value}, {"request", trace}});
+    }
     reply(answer);
     --in_flight_;
   };
