--- a/packages/node/src/host_claims.cc
+++ b/packages/node/src/host_claims.cc
@@ -21,10 +21,6 @@
 
 bool IsRequest(const attempt_id& id) { return id.task.job.partition == kNoPartition; }
 
-pool_key KeyOf(const listed_host& row) {
-  return {row.environment, row.kind == host_kind::kTarget ? row.service : service_id{}};
-}
-
 }  // namespace
 
 host_claims::claim_shard& host_claims::Shard(const host_id& host) {
@@ -73,7 +69,7 @@
           entry.row = row;
           if (entry.held && row.leaving && !leaving && !entry.leaving) {
             out.push_back([this, row] {
-              parts_.pools.Handle(KeyOf(row), host_leaving{row.host, true});
+              parts_.pools.Handle(PoolOf(row), host_leaving{row.host, true});
             });
           }
         },
@@ -143,7 +139,7 @@
   entry.tasks.clear();
   entry.next_call = parts_.Now() + parts_.options.claims.ttl;
   out.push_back([this, row = entry.row, term = entry.term] {
-    parts_.pools.Handle(KeyOf(row), host_released{row.host});
+    parts_.pools.Handle(PoolOf(row), host_released{row.host});
     parts_.port.call_host(row, release_call{parts_.options.self, term},
                           [](const result<host_answer>&) {});
   });
@@ -153,7 +149,7 @@
   entry.held = false;
   out.push_back([this, row = entry.row] {
     parts_.Event(event_number::kClaimLost, {{"host", row.host.value}});
-    parts_.pools.Handle(KeyOf(row), host_released{row.host});
+    parts_.pools.Handle(PoolOf(row), host_released{row.host});
   });
 }
 
@@ -209,7 +205,7 @@
     entry.leaving = granted.leaving;
     const bool leaving = granted.leaving || entry.row.leaving;
     out.push_back([this, row = entry.row, leaving] {
-      parts_.pools.Handle(KeyOf(row), host_leaving{row.host, leaving});
+      parts_.pools.Handle(PoolOf(row), host_leaving{row.host, leaving});
     });
   }
   UpdateTasks(entry, granted, out);
@@ -233,7 +229,7 @@
     entry.tasks[task.work.id].work = task.work;
   }
   out.push_back([this, row = entry.row, claimed = std::move(claimed)] {
-    parts_.pools.Handle(KeyOf(row), claimed);
+    parts_.pools.Handle(PoolOf(row), claimed);
   });
   for (const host_task& task : granted.tasks) {
     if (task.state == host_task_state::kRunning) continue;
@@ -267,7 +263,7 @@
     }
     if (task.used != resources{}) {
       out.push_back([this, row = entry.row, id = task.work.id, used = task.used] {
-        parts_.pools.Handle(KeyOf(row), usage_reported{row.host, id, used});
+        parts_.pools.Handle(PoolOf(row), usage_reported{row.host, id, used});
       });
     }
     if (task.state != host_task_state::kRunning && !found->second.ended) {
@@ -324,18 +320,6 @@
   });
 }
 
-std::size_t host_claims::Held() const {
-  std::size_t held = 0;
-  for (const claim_shard& shard : shards_) {
-    held += shard.View([](const claim_table& table) {
-      return static_cast<std::size_t>(
-          std::count_if(table.hosts.begin(), table.hosts.end(),
-                        [](const auto& each) { return each.second.held; }));
-    });
-  }
-  return held;
-}
-
 std::size_t host_claims::Executing() const {
   std::size_t running = 0;
   for (const claim_shard& shard : shards_) {
--- a/packages/node/src/host_claims.h
+++ b/packages/node/src/host_claims.h
@@ -47,7 +47,6 @@
   void ReturnHold(const host_id& host, const attempt_id& id);
 
   std::optional<listed_host> Find(const host_id& host) const;
-  std::size_t Held() const;
   // Requests that run on targets held here.
   std::size_t Executing() const;
   // Gives every claim back at once, for a graceful stop.
--- a/packages/node/src/host_tasks.cc
+++ b/packages/node/src/host_tasks.cc
@@ -12,10 +12,6 @@
 // After this many unanswered questions only the claim's lapse can settle the attempt.
 constexpr std::uint32_t kMostResolves = 50;
 
-pool_key KeyOf(const listed_host& row) {
-  return {row.environment, row.kind == host_kind::kTarget ? row.service : service_id{}};
-}
-
 // What a failed start or execute call says about the attempt.
 attempt_fact FactOf(const result<host_answer>& answer) {
   if (answer) return attempt_fact::kRunning;
@@ -58,7 +54,7 @@
     task.contact = task.started;
     task.reported = task.started;
   });
-  if (!row || parts_.pools.Confirm(KeyOf(*row), id, place)) return row;
+  if (!row || parts_.pools.Confirm(PoolOf(*row), id, place)) return row;
   OnEntry(place.host, [&](claim_entry& entry, std::vector<notice>&) { entry.tasks.erase(id); });
   return std::nullopt;
 }
@@ -235,7 +231,7 @@
 
 void host_claims::ReturnHold(const host_id& host, const attempt_id& id) {
   const std::optional<listed_host> row = Find(host);
-  if (row) parts_.pools.Handle(KeyOf(*row), hold_released{id});
+  if (row) parts_.pools.Handle(PoolOf(*row), hold_released{id});
 }
 
 void host_claims::Forget(const host_id& host, const attempt_id& id, finish_kind outcome) {
@@ -267,7 +263,7 @@
 
 void host_claims::FinishInPool(const listed_host& row, const attempt_id& id, finish_kind outcome,
                                duration ran) {
-  parts_.pools.Handle(KeyOf(row), work_finished{id, row.host, outcome, ran});
+  parts_.pools.Handle(PoolOf(row), work_finished{id, row.host, outcome, ran});
 }
 
 void host_claims::Report(const attempt_id& id, const host_id& host, std::uint64_t term,
--- a/packages/node/src/members.cc
+++ b/packages/node/src/members.cc
@@ -86,10 +86,4 @@
   return core_.KnownOwner(partition, parts_.Now());
 }
 
-time_point members::LastHeard(const process_id& process) const {
-  if (process == parts_.options.self) return parts_.Now();
-  const std::lock_guard lock(mutex_);
-  return core_.LastHeard(process).value_or(time_point{});
-}
-
 }  // namespace sycamorehinge
--- a/packages/node/src/members.h
+++ b/packages/node/src/members.h
@@ -26,8 +26,6 @@
   process_id PreferredOwner(partition_number partition, const region_id& region) const;
   // Live process that owns the partition under the highest epoch; empty if there is none.
   process_id KnownOwner(partition_number partition) const;
-  // Last sign of the process; this process counts as heard now.
-  time_point LastHeard(const process_id& process) const;
 
  private:
   process_status Describe() const;
--- a/packages/node/src/node_fwd.h
+++ b/packages/node/src/node_fwd.h
@@ -16,6 +16,11 @@
   friend auto operator<=>(const pool_key&, const pool_key&) = default;
 };
 
+// The pool that gives out the room of a host.
+inline pool_key PoolOf(const listed_host& row) {
+  return {row.environment, row.kind == host_kind::kTarget ? row.service : service_id{}};
+}
+
 // Interval at which a call looks again for the owner of its partition.
 inline constexpr duration kOwnerRetry = std::chrono::milliseconds(100);
 
--- a/packages/node/src/partition_set.cc
+++ b/packages/node/src/partition_set.cc
@@ -77,26 +77,17 @@
 }
 
 void partition_set::Heard(const process_status& status) {
-  const time_point now = parts_.Now();
   const std::lock_guard lock(mutex_);
   for (const owned_partition& owned : status.partitions) {
-    auto& [epoch, when] = heard_[owned.number];
+    std::uint64_t& epoch = heard_[owned.number];
     epoch = std::max(epoch, owned.epoch);
-    when = now;
   }
 }
 
 std::uint64_t partition_set::KnownEpoch(partition_number partition) const {
   const std::lock_guard lock(mutex_);
   const auto found = heard_.find(partition);
-  return found == heard_.end() ? 0 : found->second.first;
-}
-
-time_point partition_set::LastContact(partition_number partition) const {
-  if (IsOwner(partition)) return parts_.Now();
-  const std::lock_guard lock(mutex_);
-  const auto found = heard_.find(partition);
-  return found == heard_.end() ? time_point{} : found->second.second;
+  return found == heard_.end() ? 0 : found->second;
 }
 
 time_point partition_set::NextAppendTime() {
--- a/packages/node/src/partition_set.h
+++ b/packages/node/src/partition_set.h
@@ -30,8 +30,6 @@
   std::vector<owned_partition> Owned() const;
   // Highest epoch that a live peer claims for the partition.
   std::uint64_t KnownEpoch(partition_number partition) const;
-  // Last sign of life of any owner of the partition.
-  time_point LastContact(partition_number partition) const;
   // Notes that a peer's heartbeat names it as owner.
   void Heard(const process_status& status);
 
@@ -85,7 +83,7 @@
   entry_node::parts& parts_;
   std::vector<std::unique_ptr<partition_runner>> runners_;
   mutable std::mutex mutex_;
-  std::map<partition_number, std::pair<std::uint64_t, time_point>> heard_;
+  std::map<partition_number, std::uint64_t> heard_;
   std::multimap<job_id, std::uint64_t> waiting_;
   call_table<waiter> waiters_;
   time_point next_append_{};
--- a/packages/node/src/pool_set.cc
+++ b/packages/node/src/pool_set.cc
@@ -248,12 +248,4 @@
   return {};
 }
 
-bool pool_set::HasRoom(const pool_key& key) const {
-  const std::lock_guard lock(mutex_);
-  const auto found = shards_.find(key);
-  if (found == shards_.end()) return false;
-  return found->second->View(
-      [](const pool_state& s) { return s.core.Summary().capacity != resources{}; });
-}
-
 }  // namespace sycamorehinge
--- a/packages/node/src/pool_set.h
+++ b/packages/node/src/pool_set.h
@@ -51,7 +51,6 @@
   std::vector<std::pair<pool_load, pool_summary>> Summaries() const;
   std::vector<host_summary> Hosts() const;
   std::string Explain(const attempt_id& id) const;
-  bool HasRoom(const pool_key& key) const;
 
  private:
   struct pool_state {
