Count a start as a granted lease before a host's tasks are reported lost

Cause, found by reading: a loss waits for 10 s + 10% + 1 s from the last renewal that carried leases. On a host that was idle for a while that renewal is old, so a task started just before the host became unreachable could be reported lost as soon as the claim lapsed (2 s), while its lease of 10 s still ran: a second attempt could start beside it. The start now counts as the last lease. Ruled out: the claim call after the start covers it only if it is sent before the lapse. Not shown failing first: the test world cannot yet cut a host off while its tasks run on.

--- a/packages/node/src/host_tasks.cc
+++ b/packages/node/src/host_tasks.cc
@@ -53,6 +53,8 @@
     task.started = parts_.Now();
     task.contact = task.started;
     task.reported = task.started;
+    // The start itself grants a lease, which a loss must wait out like one of a renewal.
+    entry.last_kept = task.started;
   });
   if (!row || parts_.pools.Confirm(PoolOf(*row), id, place)) return row;
   OnEntry(place.host, [&](claim_entry& entry, std::vector<notice>&) { entry.tasks.erase(id); });
