--- /dev/null
+++ b/packages/cell/src/jobs.cc
@@ -0,0 +1,283 @@
+// Jobs: acceptance, steps that become ready, the end, and what callers ask.
+#include <algorithm>
+#include <utility>
+
+#include "state.h"
+
+namespace sycamorehinge::cell {
+
+namespace {
+
+void Restore(job_entry& job, const progress_record& record) {
+  job.next_occurrence = record.next_occurrence;
+  for (const occurrence_progress& open : record.open) {
+    occurrence_state& occurrence = job.occurrences[open.number];
+    occurrence.steps.resize(open.steps.size());
+    for (std::size_t i = 0; i < open.steps.size(); ++i) {
+      step_state& step = occurrence.steps[i];
+      for (const task_progress& task : open.steps[i]) {
+        task_state& state = step.tasks.emplace_back();
+        state.done = task.done;
+        state.failures = task.failures;
+        state.counted_run = task.run;
+        if (task.done) ++step.done;
+      }
+      if (!step.tasks.empty() && step.done == step.tasks.size()) ++occurrence.steps_done;
+    }
+  }
+}
+
+// Records that cannot belong to the job are dropped; its tasks then run from the start.
+bool Matches(const job_entry& job) {
+  for (const auto& [number, occurrence] : job.occurrences) {
+    if (occurrence.steps.size() != job.spec.steps.size()) return false;
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      if (occurrence.steps[i].tasks.size() != job.spec.steps[i].count) return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+void scheduler::state::Load(journal_record record) {
+  std::visit(overloaded{[&](term_record& row) { loaded_term = std::max(loaded_term, row.term); },
+                        [&](accepted_record& row) {
+                          job_entry& job = jobs[row.job];
+                          job.queue = std::move(row.queue);
+                          job.accepted_ms = row.accepted_ms;
+                          job.spec = std::move(row.spec);
+                          job.payload = std::make_shared<std::string>(std::move(job.spec.payload));
+                          job.order = next_order++;
+                        },
+                        [&](progress_record& row) {
+                          job_entry& job = jobs[row.job];
+                          job.queue = std::move(row.queue);
+                          job.phase = row.phase;
+                          job.ended_ms = row.ended_ms;
+                          if (job.Ended()) {
+                            ended_jobs.emplace_back(job.ended_ms, row.job);
+                          } else {
+                            Restore(job, row);
+                          }
+                        },
+                        [&](host_record& row) {
+                          host_entry entry;
+                          entry.id = row.host;
+                          entry.address = std::move(row.address);
+                          entry.service = std::move(row.service);
+                          hosts[SlotOf(row.host)].entry = std::move(entry);
+                          hosts[SlotOf(row.host)].journaled = true;
+                        },
+                        [](const auto&) {}},
+             record);
+}
+
+job_entry* scheduler::state::FindJob(job_number number) {
+  const auto found = jobs.find(number);
+  return found == jobs.end() ? nullptr : &found->second;
+}
+
+const queue_settings* scheduler::state::QueueOf(const job_entry& job) const {
+  return config->FindQueue(job.queue);
+}
+
+std::uint32_t scheduler::state::PriorityOf(const job_entry& job) const {
+  const queue_settings* queue = QueueOf(job);
+  return queue ? queue->priority : 0;
+}
+
+step_state* scheduler::state::FindStep(const task_ref& ref) {
+  job_entry* job = FindJob(ref.job);
+  if (!job) return nullptr;
+  const auto found = job->occurrences.find(ref.occurrence);
+  if (found == job->occurrences.end() || ref.step >= found->second.steps.size()) return nullptr;
+  return &found->second.steps[ref.step];
+}
+
+waiting_key scheduler::state::KeyOf(const task_ref& ref, const job_entry& job) const {
+  return {PriorityOf(job), job.order, ref.job, ref.occurrence, ref.step};
+}
+
+void scheduler::state::Submit(call_number call, job_number number, std::string_view queue,
+                              job_spec spec, std::int64_t wall) {
+  wall_ms = wall;
+  if (!owner) return Answer({call, errc::kNotReady}, 0);
+  if (const job_entry* known = FindJob(number)) {
+    return Answer({call, errc::kOk, known->phase}, known->accepted_sequence);
+  }
+  if (!config->FindQueue(queue)) return Answer({call, errc::kNotReady}, 0);
+  if (const errc code = CheckSpec(spec); code != errc::kOk) return Answer({call, code}, 0);
+  accepted_record record{number, std::string(queue), wall, std::move(spec)};
+  job_entry& job = jobs[number];
+  job.queue = record.queue;
+  job.accepted_ms = wall;
+  job.order = next_order++;
+  job.spec = record.spec;
+  job.payload = std::make_shared<std::string>(std::move(job.spec.payload));
+  job.accepted_sequence = Write(std::move(record));
+  gated_jobs.emplace_back(job.accepted_sequence, number);
+  Answer({call, errc::kOk, job.phase}, job.accepted_sequence);
+  Note(decision_kind::kJobAccepted, {number}, 0, {}, queue);
+}
+
+std::int64_t scheduler::state::DueMs(const job_entry& job, std::uint32_t occurrence) const {
+  return job.spec.first_ms + static_cast<std::int64_t>(occurrence) * job.spec.interval_ms;
+}
+
+// Begins to schedule a job whose acceptance is in the journal.
+void scheduler::state::Activate(job_number number, job_entry& job) {
+  // The acceptance was dropped although the job has not ended: nothing is left to run.
+  if (job.spec.steps.empty()) return;
+  job.active = true;
+  if (!Matches(job)) job.occurrences.clear();
+  for (auto& [index, occurrence] : job.occurrences) {
+    for (step_state& step : occurrence.steps) {
+      for (task_state& task : step.tasks) task.unknown = recovering && !task.done;
+      if (step.done > 0 && job.phase == job_phase::kQueued) job.phase = job_phase::kRunning;
+    }
+  }
+  if (!job.Timed() && job.occurrences.empty()) OpenOccurrence(number, job, 0);
+  if (job.Timed()) {
+    timed_jobs.emplace(DueMs(job, job.next_occurrence), number);
+    OpenDueOccurrences(wall_ms);
+  }
+  std::vector<std::uint32_t> open;
+  for (const auto& [index, occurrence] : job.occurrences) open.push_back(index);
+  for (const std::uint32_t index : open) EnqueueReadySteps(number, job, index);
+}
+
+void scheduler::state::OpenOccurrence(job_number number, job_entry& job, std::uint32_t index) {
+  occurrence_state& occurrence = job.occurrences[index];
+  occurrence.steps.resize(job.spec.steps.size());
+  for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+    occurrence.steps[i].tasks.resize(job.spec.steps[i].count);
+    // A job from the journal without progress may still have been started.
+    for (task_state& task : occurrence.steps[i].tasks) {
+      task.unknown = recovering && job.accepted_sequence == 0;
+    }
+  }
+  job.next_occurrence = std::max(job.next_occurrence, index + 1);
+  EnqueueReadySteps(number, job, index);
+}
+
+void scheduler::state::OpenDueOccurrences(std::int64_t wall) {
+  while (!timed_jobs.empty() && timed_jobs.begin()->first <= wall) {
+    const job_number number = timed_jobs.begin()->second;
+    timed_jobs.erase(timed_jobs.begin());
+    job_entry* job = FindJob(number);
+    if (!job || job->Ended() || job->next_occurrence >= job->spec.occurrences) continue;
+    OpenOccurrence(number, *job, job->next_occurrence);
+    MarkDirty(number, *job);
+    if (job->next_occurrence < job->spec.occurrences) {
+      timed_jobs.emplace(DueMs(*job, job->next_occurrence), number);
+    }
+  }
+}
+
+bool scheduler::state::StepReady(const job_entry& job, const occurrence_state& occurrence,
+                                 std::uint32_t index) const {
+  const step_state& step = occurrence.steps[index];
+  if (step.done == step.tasks.size()) return false;
+  const std::vector<std::uint32_t>& after = job.spec.steps[index].after;
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+    const step_state& before = occurrence.steps[earlier];
+    return before.done == before.tasks.size();
+  });
+}
+
+void scheduler::state::EnqueueReadySteps(job_number number, job_entry& job, std::uint32_t index) {
+  if (job.Ended()) return;
+  occurrence_state& occurrence = job.occurrences[index];
+  for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+    step_state& step = occurrence.steps[i];
+    if (step.waiting || !StepReady(job, occurrence, i)) continue;
+    const bool idle = std::any_of(step.tasks.begin(), step.tasks.end(), [](const auto& task) {
+      return !task.done && task.open == kNoRun;
+    });
+    if (!idle) continue;
+    step.waiting = true;
+    step.ready_since = now;
+    waiting.insert(KeyOf({number, index, i, 0}, job));
+    pass_needed = true;
+  }
+}
+
+// Called after a task of the step succeeded.
+void scheduler::state::StepMayBeDone(const task_ref& ref, job_entry& job) {
+  occurrence_state& occurrence = job.occurrences[ref.occurrence];
+  const step_state& step = occurrence.steps[ref.step];
+  if (step.done < step.tasks.size()) return;
+  if (++occurrence.steps_done < occurrence.steps.size()) {
+    return EnqueueReadySteps(ref.job, job, ref.occurrence);
+  }
+  job.occurrences.erase(ref.occurrence);
+  const bool last = !job.Timed() || job.next_occurrence >= job.spec.occurrences;
+  if (last && job.occurrences.empty()) FinishJob(ref.job, job, job_phase::kCompleted);
+}
+
+void scheduler::state::FinishJob(job_number number, job_entry& job, job_phase phase) {
+  for (auto& [index, occurrence] : job.occurrences) {
+    for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+      step_state& step = occurrence.steps[i];
+      Unreserve(step, job.spec.steps[i]);
+      ReleaseKept(step);
+      if (step.waiting) Dequeue(KeyOf({number, index, i, 0}, job), step);
+      questions.erase(step.question);
+      for (task_state& task : step.tasks) {
+        if (task.open != kNoRun) SendStop(std::exchange(task.open, kNoRun), "the job has ended");
+      }
+    }
+  }
+  job.phase = phase;
+  job.ended_ms = wall_ms;
+  job.occurrences.clear();
+  job.payload.reset();
+  job.spec = {};
+  WriteProgress(number, job);
+  Write(retire_job{number});
+  ended_jobs.emplace_back(job.ended_ms, number);
+}
+
+void scheduler::state::Cancel(call_number call, job_number number, std::int64_t wall) {
+  wall_ms = wall;
+  if (!owner) return Answer({call, errc::kNotReady}, 0);
+  job_entry* job = FindJob(number);
+  if (!job) return Answer({call, errc::kUnknownJob}, 0);
+  if (!job->Ended()) {
+    Note(decision_kind::kJobCancelled, {number}, 0, {}, "the caller cancelled it");
+    FinishJob(number, *job, job_phase::kCancelled);
+  }
+  Answer({call, errc::kOk, job->phase}, job->phase_sequence);
+}
+
+void scheduler::state::State(call_number call, job_number number) {
+  if (!owner) return Answer({call, errc::kNotReady}, 0);
+  const job_entry* job = FindJob(number);
+  if (!job) return Answer({call, errc::kUnknownJob}, 0);
+  // An end that is not in the journal may have to be undone.
+  const bool early = job->Ended() && job->phase_sequence > durable;
+  Answer({call, errc::kOk, early ? job_phase::kRunning : job->phase}, 0);
+}
+
+void scheduler::state::Pending(call_number call, std::string_view queue) {
+  if (!owner) return Answer({call, errc::kNotReady}, 0);
+  const auto count = std::count_if(jobs.begin(), jobs.end(), [queue](const auto& row) {
+    return row.second.phase == job_phase::kQueued && row.second.queue == queue;
+  });
+  answer_call answer{call};
+  answer.pending = static_cast<std::uint64_t>(count);
+  Answer(answer, 0);
+}
+
+void scheduler::state::ForgetOldJobs(std::int64_t wall) {
+  const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(options.job_retention);
+  while (!ended_jobs.empty() && ended_jobs.front().first + keep.count() < wall) {
+    const job_number number = ended_jobs.front().second;
+    ended_jobs.pop_front();
+    jobs.erase(number);
+    Write(forget_job{number});
+  }
+}
+
+}  // namespace sycamorehinge::cell
--- /dev/null
+++ b/packages/cell/src/journal.cc
@@ -0,0 +1,96 @@
+// Records on their way to the journal, and what waits for them.
+#include <utility>
+
+#include "state.h"
+
+namespace sycamorehinge::cell {
+
+std::uint64_t scheduler::state::Write(journal_record record) {
+  actions.emplace_back(write_record{++sequence, std::move(record)});
+  return sequence;
+}
+
+void scheduler::state::WriteProgress(job_number number, job_entry& job) {
+  progress_record record;
+  record.job = number;
+  record.queue = job.queue;
+  record.phase = job.phase;
+  record.ended_ms = job.ended_ms;
+  record.next_occurrence = job.next_occurrence;
+  if (!job.Ended()) {
+    for (const auto& [index, occurrence] : job.occurrences) {
+      occurrence_progress open{index, {}};
+      for (const step_state& step : occurrence.steps) {
+        std::vector<task_progress>& tasks = open.steps.emplace_back();
+        for (const task_state& task : step.tasks) {
+          tasks.push_back({task.done, task.failures, task.counted_run});
+        }
+      }
+      record.open.push_back(std::move(open));
+    }
+  }
+  job.dirty = false;
+  job.phase_sequence = Write(std::move(record));
+}
+
+void scheduler::state::MarkDirty(job_number number, job_entry& job) {
+  if (std::exchange(job.dirty, true)) return;
+  dirty_jobs.push_back(number);
+}
+
+void scheduler::state::WriteDirtyJobs() {
+  for (const job_number number : std::exchange(dirty_jobs, {})) {
+    job_entry* job = FindJob(number);
+    if (job && job->dirty) WriteProgress(number, *job);
+  }
+  // Ends reported by one look wait for the newest of their records.
+  for (host_state& host : hosts) {
+    if (host.unacknowledged.empty() || host.unacknowledged.back().first != 0) continue;
+    host.unacknowledged.back().first = sequence;
+    ReleaseEnds(host);
+  }
+}
+
+// True if ends became known to be in the journal.
+bool scheduler::state::ReleaseEnds(host_state& host) {
+  bool moved = false;
+  while (!host.unacknowledged.empty() && host.unacknowledged.front().first <= durable) {
+    host.acknowledged = host.unacknowledged.front().second;
+    host.unacknowledged.pop_front();
+    moved = true;
+  }
+  return moved;
+}
+
+void scheduler::state::Answer(answer_call answer, std::uint64_t after) {
+  if (after <= durable) {
+    actions.emplace_back(std::move(answer));
+  } else {
+    gated_answers.emplace_back(after, std::move(answer));
+  }
+}
+
+void scheduler::state::Durable(std::uint64_t upto) {
+  if (upto <= durable) return;
+  durable = upto;
+  while (!gated_answers.empty() && gated_answers.front().first <= durable) {
+    actions.emplace_back(std::move(gated_answers.front().second));
+    gated_answers.pop_front();
+  }
+  while (!gated_jobs.empty() && gated_jobs.front().first <= durable) {
+    const job_number number = gated_jobs.front().second;
+    gated_jobs.pop_front();
+    job_entry* job = FindJob(number);
+    if (job && !job->Ended() && !job->active) Activate(number, *job);
+  }
+  for (host_slot slot = 0; slot < hosts.size(); ++slot) {
+    if (ReleaseEnds(hosts[slot])) TickHost(slot);
+  }
+}
+
+void scheduler::state::Note(decision_kind kind, const task_ref& task, std::uint32_t run,
+                            std::string_view host, std::string_view cause, duration age) {
+  actions.emplace_back(note_decision{kind, task, run, std::string(host), std::string(cause), age});
+}
+
+}  // namespace sycamorehinge::cell
--- /dev/null
+++ b/packages/cell/src/placement.cc
@@ -0,0 +1,302 @@
+// Which waiting task takes which host.
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "state.h"
+
+namespace sycamorehinge::cell {
+
+namespace {
+
+// Room that a task takes: what fills uses only processor time that others leave.
+resources RoomOf(const step_spec& spec) {
+  resources room = spec.size;
+  if (spec.fills) room.cores_milli = 0;
+  return room;
+}
+
+std::int64_t TimesInto(std::int64_t free, std::int64_t size) {
+  if (size <= 0) return std::numeric_limits<std::int32_t>::max();
+  return free < size ? 0 : free / size;
+}
+
+std::uint32_t CopiesInto(const resources& free, const resources& size) {
+  const std::int64_t copies = std::min({TimesInto(free.cores_milli, size.cores_milli),
+                                        TimesInto(free.memory_mb, size.memory_mb),
+                                        TimesInto(free.accelerators, size.accelerators)});
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(copies, 0));
+}
+
+bool HasLabel(const host_state& host, const std::string& label) {
+  const auto& labels = host.entry.labels;
+  return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool FailedOn(const task_state& task, host_slot slot) {
+  return std::find(task.failed_on.begin(), task.failed_on.end(), slot) != task.failed_on.end();
+}
+
+resources Times(const resources& size, std::uint32_t count) {
+  return {size.cores_milli * count, size.memory_mb * count, size.accelerators * count, 0};
+}
+
+}  // namespace
+
+// Considers waiting steps in the order of priority and age.
+void scheduler::state::Pass() {
+  if (!pass_needed || !owner || !may_start) return;
+  pass_needed = false;
+  std::vector<waiting_key> keys;
+  for (const waiting_key& key : waiting) {
+    if (keys.size() == options.pass_limit) break;
+    keys.push_back(key);
+  }
+  for (const waiting_key& key : keys) TryPlace(key);
+}
+
+void scheduler::state::TryPlace(const waiting_key& key) {
+  const task_ref ref{key.job, key.occurrence, key.step, 0};
+  job_entry* job = FindJob(key.job);
+  step_state* step = FindStep(ref);
+  if (!job || !step) {
+    waiting.erase(key);
+    return;
+  }
+  if (!QueueOf(*job)) return;
+  if (SpecOf(*job, key.step).gang) {
+    PlaceGang(ref, *job, *step);
+  } else {
+    PlaceTasks(ref, *job, *step);
+  }
+  const bool left = std::any_of(step->tasks.begin(), step->tasks.end(), [](const auto& task) {
+    return !task.done && task.open == kNoRun;
+  });
+  if (!left) {
+    ReleaseKept(*step);
+    Dequeue(key, *step);
+  }
+}
+
+std::vector<std::uint32_t> scheduler::state::WaitingTasks(const step_state& step) const {
+  std::vector<std::uint32_t> indices;
+  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+    const task_state& task = step.tasks[i];
+    if (!task.done && task.open == kNoRun && !task.unknown) indices.push_back(i);
+  }
+  return indices;
+}
+
+// Number of tasks of the step that the host can take now, whatever the policy says.
+std::uint32_t scheduler::state::FitCount(const job_entry& job, const step_spec& spec,
+                                         const step_state& step, host_slot slot,
+                                         std::uint32_t priority, bool with_reserved) const {
+  const host_state& host = hosts[slot];
+  if (!Usable(host) || host.entry.service != QueueOf(job)->service) return 0;
+  if (!HasLabel(host, spec.label)) return 0;
+  if (host.kept_for && host.kept_for != &step && priority >= host.kept_priority) return 0;
+  resources free = host.Free();
+  if (with_reserved) {
+    for (const auto& [reserved, count] : step.reserved) {
+      if (reserved == slot) free += Times(RoomOf(spec), count);
+    }
+  }
+  std::uint32_t copies = CopiesInto(free, RoomOf(spec));
+  if (spec.spread_limit > 0) {
+    std::uint32_t there = 0;
+    for (const task_state& task : step.tasks) {
+      if (task.open != kNoRun && runs.at(task.open).host == slot) ++there;
+    }
+    copies = std::min(copies, spec.spread_limit > there ? spec.spread_limit - there : 0);
+  }
+  return copies;
+}
+
+bool scheduler::state::TicketHolds(const step_state& step, host_slot slot) const {
+  if (slot >= step.verdicts.size()) return false;
+  const host_verdict& verdict = step.verdicts[slot];
+  return verdict.approved && now + options.ticket_margin < verdict.valid_until;
+}
+
+// The fitting host that the task fills best: near its data first, and where it has not failed.
+host_slot scheduler::state::BestHost(const job_entry& job, const step_spec& spec,
+                                     const step_state& step, const task_state& task,
+                                     std::uint32_t priority) const {
+  const bool advised = QueueOf(job)->advice.has_value();
+  host_slot best = kNoHost;
+  std::tuple<bool, bool, std::int64_t> best_score;
+  for (host_slot slot = 0; slot < hosts.size(); ++slot) {
+    if (advised && !TicketHolds(step, slot)) continue;
+    if (FitCount(job, spec, step, slot, priority, false) == 0) continue;
+    const host_state& host = hosts[slot];
+    const bool suspect = FailedOn(task, slot) || (task.failures > 0 && host.failures_in_row > 0);
+    const bool far = !spec.rack.empty() && host.entry.rack.value != spec.rack;
+    const std::tuple score{suspect, far, host.Free().cores_milli};
+    if (best != kNoHost && score >= best_score) continue;
+    best = slot;
+    best_score = score;
+  }
+  return best;
+}
+
+void scheduler::state::PlaceTasks(const task_ref& ref, job_entry& job, step_state& step) {
+  const step_spec& spec = SpecOf(job, ref.step);
+  const std::uint32_t priority = PriorityOf(job);
+  std::uint32_t left = 0;
+  for (const std::uint32_t index : WaitingTasks(step)) {
+    const host_slot slot = BestHost(job, spec, step, step.tasks[index], priority);
+    if (slot == kNoHost) {
+      ++left;
+      continue;
+    }
+    const std::uint32_t number =
+        static_cast<std::uint32_t>(term - 1) * kRunsPerTerm + ++step.tasks[index].starts;
+    StartTask({ref.job, ref.occurrence, ref.step, index}, job, step, slot, number);
+  }
+  if (left > 0 && QueueOf(job)->advice) AskForTasks(ref, job, step, left);
+}
+
+void scheduler::state::StartTask(const task_ref& ref, job_entry& job, step_state& step,
+                                 host_slot slot, std::uint32_t number) {
+  task_state& task = step.tasks[ref.index];
+  const run_number id =
+      OpenRun(ref, slot, RoomOf(SpecOf(job, ref.step)), number, run_phase::kStarting);
+  run_state& run = runs.at(id);
+  task.open = id;
+  ++step.open;
+  run.saved = task.saved;
+  if (slot < step.verdicts.size()) run.ticket = step.verdicts[slot].ticket;
+  if (job.phase == job_phase::kQueued) job.phase = job_phase::kRunning;
+  Note(decision_kind::kTaskStarted, ref, number, hosts[slot].entry.id.value, job.queue,
+       now - step.ready_since);
+  SendStart(id);
+}
+
+// Hosts for all members; empty if they do not fit. Fills few hosts, those with the least room
+// left over, and one rack if the gang wants that and a rack has the room.
+std::vector<std::pair<host_slot, std::uint32_t>> scheduler::state::ChooseGangHosts(
+    const job_entry& job, const step_spec& spec, const step_state& step, std::uint32_t priority,
+    bool need_ticket) const {
+  const bool advised = QueueOf(job)->advice.has_value();
+  struct candidate {
+    bool suspect;
+    std::int64_t left;
+    host_slot slot;
+    std::uint32_t copies;
+  };
+  std::vector<candidate> candidates;
+  for (host_slot slot = 0; slot < hosts.size(); ++slot) {
+    if (advised && need_ticket && !TicketHolds(step, slot)) continue;
+    if (advised && (slot >= step.verdicts.size() || !step.verdicts[slot].approved)) continue;
+    const std::uint32_t copies = FitCount(job, spec, step, slot, priority, true);
+    if (copies == 0) continue;
+    const host_state& host = hosts[slot];
+    candidates.push_back({host.failures_in_row > 0,
+                          host.Free().cores_milli - copies * RoomOf(spec).cores_milli, slot,
+                          copies});
+  }
+  std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.suspect, a.left, a.slot) < std::tie(b.suspect, b.left, b.slot);
+  });
+  const auto choose = [&](const rack_id* rack) {
+    std::vector<std::pair<host_slot, std::uint32_t>> chosen;
+    auto missing = static_cast<std::uint32_t>(step.tasks.size());
+    for (const candidate& next : candidates) {
+      if (missing == 0) break;
+      if (rack && hosts[next.slot].entry.rack != *rack) continue;
+      const std::uint32_t take = std::min(next.copies, missing);
+      chosen.emplace_back(next.slot, take);
+      missing -= take;
+    }
+    if (missing > 0) chosen.clear();
+    return chosen;
+  };
+  if (spec.same_rack) {
+    std::set<rack_id> racks;
+    for (const candidate& next : candidates) racks.insert(hosts[next.slot].entry.rack);
+    for (const rack_id& rack : racks) {
+      if (auto chosen = choose(&rack); !chosen.empty()) return chosen;
+    }
+  }
+  return choose(nullptr);
+}
+
+void scheduler::state::PlaceGang(const task_ref& ref, job_entry& job, step_state& step) {
+  const step_spec& spec = SpecOf(job, ref.step);
+  const std::uint32_t priority = PriorityOf(job);
+  if (step.open > 0 || WaitingTasks(step).size() != step.tasks.size()) return;
+  const auto chosen = ChooseGangHosts(job, spec, step, priority, true);
+  if (chosen.empty()) {
+    if (QueueOf(job)->advice) AskForGang(ref, job, step);
+    return KeepHostsFor(ref, job, step, priority);
+  }
+  Unreserve(step, spec);
+  ReleaseKept(step);
+  // All members carry the same run and the same checkpoint.
+  std::string saved;
+  std::uint32_t starts = 0;
+  for (const task_state& task : step.tasks) {
+    if (saved.empty()) saved = task.saved;
+    starts = std::max(starts, task.starts);
+  }
+  const std::uint32_t number = static_cast<std::uint32_t>(term - 1) * kRunsPerTerm + starts + 1;
+  std::uint32_t index = 0;
+  for (const auto& [slot, count] : chosen) {
+    for (std::uint32_t i = 0; i < count; ++i, ++index) {
+      step.tasks[index].saved = saved;
+      step.tasks[index].starts = starts + 1;
+      StartTask({ref.job, ref.occurrence, ref.step, index}, job, step, slot, number);
+    }
+  }
+}
+
+void scheduler::state::Unreserve(step_state& step, const step_spec& spec) {
+  for (const auto& [slot, count] : std::exchange(step.reserved, {})) {
+    hosts[slot].taken -= Times(RoomOf(spec), count);
+    pass_needed = true;
+  }
+}
+
+// Keeps approved hosts free for a gang that has waited long, so that smaller work does not take
+// each piece of room as it becomes free. Only more urgent work may use them meanwhile.
+void scheduler::state::KeepHostsFor(const task_ref& ref, const job_entry& job, step_state& step,
+                                    std::uint32_t priority) {
+  if (!step.reserved.empty() || now - step.ready_since < options.reserve_after) return;
+  const bool kept = std::any_of(hosts.begin(), hosts.end(), [](const host_state& host) {
+    return host.kept_for != nullptr;
+  });
+  if (kept) return;
+  const step_spec& spec = SpecOf(job, ref.step);
+  const bool advised = QueueOf(job)->advice.has_value();
+  std::vector<std::tuple<std::int64_t, host_slot, std::uint32_t>> candidates;
+  for (host_slot slot = 0; slot < hosts.size(); ++slot) {
+    const host_state& host = hosts[slot];
+    if (advised && (slot >= step.verdicts.size() || !step.verdicts[slot].approved)) continue;
+    if (!Usable(host) || !HasLabel(host, spec.label)) continue;
+    const std::uint32_t copies = CopiesInto(host.entry.capacity, RoomOf(spec));
+    if (copies > 0) candidates.emplace_back(host.taken.cores_milli, slot, copies);
+  }
+  std::sort(candidates.begin(), candidates.end());
+  std::vector<host_slot> chosen;
+  std::uint32_t room = 0;
+  for (const auto& [taken, slot, copies] : candidates) {
+    if (room >= step.tasks.size()) break;
+    chosen.push_back(slot);
+    room += copies;
+  }
+  if (room < step.tasks.size()) return;
+  for (const host_slot slot : chosen) {
+    hosts[slot].kept_for = &step;
+    hosts[slot].kept_priority = priority;
+  }
+}
+
+void scheduler::state::ReleaseKept(const step_state& step) {
+  for (host_state& host : hosts) {
+    if (host.kept_for != &step) continue;
+    host.kept_for = nullptr;
+    pass_needed = true;
+  }
+}
+
+}  // namespace sycamorehinge::cell
--- /dev/null
+++ b/packages/cell/src/scheduler.cc
@@ -0,0 +1,173 @@
+#include "sycamorehinge/cell/scheduler.h"
+
+#include "state.h"
+
+namespace sycamorehinge::cell {
+
+namespace {
+
+// Ticks while something is open, and while nothing is.
+constexpr duration kBusyTick = std::chrono::milliseconds(25);
+constexpr duration kIdleTick = std::chrono::milliseconds(250);
+// Interval of passes over the waiting work that no event asked for.
+constexpr duration kFullPass = std::chrono::milliseconds(100);
+
+}  // namespace
+
+scheduler::scheduler(scheduler_options options) : state_(std::make_unique<state>(options)) {}
+scheduler::~scheduler() = default;
+scheduler::scheduler(scheduler&&) noexcept = default;
+scheduler& scheduler::operator=(scheduler&&) noexcept = default;
+
+void scheduler::Load(journal_record record) { state_->Load(std::move(record)); }
+
+void scheduler::BeginTerm(std::uint64_t term, std::uint64_t token, time_point now,
+                          std::int64_t wall_ms) {
+  state& s = *state_;
+  s.now = now;
+  s.wall_ms = wall_ms;
+  s.term = term;
+  s.token = token;
+  s.term_began = now;
+  s.owner = true;
+  s.recovering = true;
+  s.Write(term_record{term});
+  for (auto& [number, job] : s.jobs) {
+    if (!job.Ended()) s.Activate(number, job);
+  }
+  for (host_slot slot = 0; slot < s.hosts.size(); ++slot) s.TickHost(slot);
+  s.CheckRecovery();
+}
+
+std::uint64_t scheduler::LoadedTerm() const { return state_->loaded_term; }
+
+void scheduler::Durable(std::uint64_t sequence) {
+  state_->Durable(sequence);
+  state_->Pass();
+}
+
+void scheduler::SetMayStart(bool may_start) {
+  if (may_start && !state_->may_start) state_->pass_needed = true;
+  state_->may_start = may_start;
+}
+
+void scheduler::SetConfig(std::shared_ptr<const fleet_config> config) {
+  if (config->version < state_->config->version) return;
+  state_->config = std::move(config);
+  state_->pass_needed = true;
+}
+
+void scheduler::SetHost(const host_entry& entry, time_point now) {
+  state_->now = now;
+  state_->SetHost(entry);
+}
+
+void scheduler::RemoveHost(const host_id& host, time_point now) {
+  state_->now = now;
+  state_->RemoveHost(host);
+}
+
+void scheduler::Submit(call_number call, job_number job, std::string_view queue, job_spec spec,
+                       time_point now, std::int64_t wall_ms) {
+  state_->now = now;
+  state_->Submit(call, job, queue, std::move(spec), wall_ms);
+}
+
+void scheduler::Cancel(call_number call, job_number job, std::int64_t wall_ms) {
+  state_->Cancel(call, job, wall_ms);
+  state_->Pass();
+}
+
+void scheduler::State(call_number call, job_number job) { state_->State(call, job); }
+
+void scheduler::Pending(call_number call, std::string_view queue) { state_->Pending(call, queue); }
+
+void scheduler::OnLook(const host_id& host, time_point sent, call_outcome outcome,
+                       const host_look* look, time_point now) {
+  state_->now = now;
+  const auto found = state_->host_slots.find(host);
+  if (found == state_->host_slots.end()) return;
+  state_->OnLook(found->second, sent, outcome, look);
+  state_->WriteDirtyJobs();
+  state_->CheckRecovery();
+  state_->Pass();
+  state_->TickHost(found->second);
+}
+
+void scheduler::OnStart(const host_id& host, const task_ref& task, std::uint32_t run,
+                        call_outcome outcome, time_point now) {
+  state_->now = now;
+  const auto found = state_->host_slots.find(host);
+  if (found == state_->host_slots.end()) return;
+  state_->OnStart(found->second, task, run, outcome);
+  state_->WriteDirtyJobs();
+  state_->Pass();
+  state_->TickHost(found->second);
+}
+
+void scheduler::OnStop(const host_id& host, const task_ref& task, std::uint32_t run,
+                       call_outcome outcome, time_point now) {
+  state_->now = now;
+  const auto found = state_->host_slots.find(host);
+  if (found == state_->host_slots.end()) return;
+  state_->OnStop(found->second, task, run, outcome);
+  state_->TickHost(found->second);
+}
+
+void scheduler::OnAdvice(std::uint64_t question, bool answered,
+                         std::span<const std::pair<host_id, std::string>> approved,
+                         time_point now) {
+  state_->now = now;
+  state_->OnAdvice(question, answered, approved);
+  state_->Pass();
+}
+
+void scheduler::Tick(time_point now, std::int64_t wall_ms) {
+  state& s = *state_;
+  s.now = now;
+  s.wall_ms = wall_ms;
+  if (!s.owner) return;
+  s.OpenDueOccurrences(wall_ms);
+  s.TickRuns();
+  for (host_slot slot = 0; slot < s.hosts.size(); ++slot) s.TickHost(slot);
+  s.WriteDirtyJobs();
+  s.CheckRecovery();
+  s.ForgetOldJobs(wall_ms);
+  // Tickets, pauses and reservations change with time alone.
+  if (now >= s.next_full_pass && !s.waiting.empty()) {
+    s.pass_needed = true;
+    s.next_full_pass = now + kFullPass;
+  }
+  s.Pass();
+}
+
+time_point scheduler::NextTick() const {
+  const state& s = *state_;
+  const bool busy = !s.runs.empty() || !s.waiting.empty() || s.recovering;
+  return s.now + (busy ? kBusyTick : kIdleTick);
+}
+
+void scheduler::TakeActions(std::vector<action>& out) {
+  for (action& next : state_->actions) out.push_back(std::move(next));
+  state_->actions.clear();
+}
+
+scheduler_summary scheduler::Summary() const {
+  const state& s = *state_;
+  scheduler_summary summary;
+  summary.jobs = s.jobs.size();
+  summary.open_jobs = s.jobs.size() - s.ended_jobs.size();
+  summary.waiting_tasks = s.waiting.size();
+  summary.runs = s.runs.size();
+  summary.recovering = s.recovering;
+  for (const host_state& host : s.hosts) {
+    if (!host.listed) continue;
+    ++summary.hosts;
+    if (host.look_failures > 0) ++summary.unreachable_hosts;
+    summary.capacity += host.entry.capacity;
+    summary.taken += host.taken;
+  }
+  return summary;
+}
+
+}  // namespace sycamorehinge::cell
--- /dev/null
+++ b/packages/cell/src/work.cc
@@ -0,0 +1,36 @@
+#include "sycamorehinge/cell/work.h"
+
+#include <algorithm>
+
+namespace sycamorehinge::cell {
+
+namespace {
+
+bool IsValid(const step_spec& step, std::size_t number) {
+  if (step.count == 0 || step.count > kMaxTasksPerStep) return false;
+  const resources& size = step.size;
+  if (size.cores_milli < 0 || size.memory_mb < 0 || size.accelerators < 0) return false;
+  return std::all_of(step.after.begin(), step.after.end(),
+                     [number](std::uint32_t earlier) { return earlier < number; });
+}
+
+}  // namespace
+
+errc CheckSpec(const job_spec& spec) {
+  if (spec.steps.empty() || spec.steps.size() > kMaxSteps) return errc::kMalformed;
+  if (spec.occurrences > kMaxOccurrences || spec.interval_ms < 0) return errc::kMalformed;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    if (!IsValid(spec.steps[i], i)) return errc::kMalformed;
+  }
+  return errc::kOk;
+}
+
+std::int64_t DeclaredWork(const job_spec& spec) {
+  std::int64_t work = 0;
+  for (const step_spec& step : spec.steps) {
+    work += step.count * step.size.cores_milli * (step.run_time.count() / 1000);
+  }
+  return work;
+}
+
+}  // namespace sycamorehinge::cell
--- /dev/null
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -0,0 +1,91 @@
+// Calls of callers, and the messages by which processes pass them on.
+#ifndef SYCAMOREHINGE_CONTROL_CALLS_H_
+#define SYCAMOREHINGE_CONTROL_CALLS_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "sycamorehinge/cell/work.h"
+#include "sycamorehinge/core/error.h"
+#include "sycamorehinge/core/types.h"
+
+namespace sycamorehinge::control {
+
+struct submit_call {
+  cell::job_number job = 0;
+  std::string queue;
+  cell::job_spec spec;
+};
+struct cancel_call {
+  cell::job_number job = 0;
+};
+struct state_call {
+  cell::job_number job = 0;
+};
+// Number of jobs of the queue of which no task has started.
+struct pending_call {
+  std::string queue;
+};
+// Ask the policy service from another machine: it serves one call at a time for each.
+struct advice_call {
+  cell::task_ref step;
+  std::vector<host_id> hosts;
+};
+using peer_call =
+    std::variant<submit_call, cancel_call, state_call, pending_call, advice_call>;
+
+// Who owns a cell. A higher epoch is newer.
+struct owner_info {
+  std::uint64_t epoch = 0;
+  // Address for calls between processes.
+  std::string address;
+};
+
+struct approved_host {
+  host_id host;
+  std::string ticket;
+};
+
+struct peer_answer {
+  errc code = errc::kOk;
+  cell::job_phase phase = cell::job_phase::kQueued;
+  std::uint64_t pending = 0;
+  duration retry_after{};
+  std::vector<approved_host> approved;
+  // Newest owner that the answering process knows.
+  owner_info owner;
+};
+
+// An answer that holds no more than an error.
+inline peer_answer Refusal(errc code, duration retry_after = {}) {
+  peer_answer answer;
+  answer.code = code;
+  answer.retry_after = retry_after;
+  return answer;
+}
+
+// A process that takes calls, as it lists itself.
+struct member_info {
+  std::string name;
+  std::string address;
+  region_id region;
+  data_centre_id data_centre;
+};
+
+std::string EncodeCall(const peer_call& call);
+result<peer_call> DecodeCall(std::string_view bytes);
+std::string EncodeAnswer(const peer_answer& answer);
+result<peer_answer> DecodeAnswer(std::string_view bytes);
+std::string EncodeOwner(const owner_info& owner);
+result<owner_info> DecodeOwner(std::string_view bytes);
+std::string EncodeMember(const member_info& member);
+result<member_info> DecodeMember(std::string_view bytes);
+
+}  // namespace sycamorehinge::control
+
+#endif  // SYCAMOREHINGE_CONTROL_CALLS_H_
--- /dev/null
+++ b/packages/control/src/advice_router.cc
@@ -0,0 +1,55 @@
+#include "advice_router.h"
+
+#include <algorithm>
+
+namespace sycamorehinge::control {
+
+advice_router::advice_router(member_info self) : self_(std::move(self)) { SetMember(self_); }
+
+duration advice_router::Trip(const member_info& member) const {
+  if (member.name == self_.name) return {};
+  if (member.region == self_.region) return kZoneTrip;
+  return kRegionTrip;
+}
+
+void advice_router::SetMember(const member_info& member) {
+  entry& row = entries_[member.name];
+  const bool restarted = row.member.address != member.address;
+  row.member = member;
+  row.trip = Trip(member);
+  if (restarted) row.left_out_until = {};
+}
+
+void advice_router::RemoveMember(std::string_view name) {
+  if (name == self_.name) return;
+  if (const auto found = entries_.find(name); found != entries_.end()) entries_.erase(found);
+}
+
+const member_info& advice_router::Choose(duration cost, time_point now) {
+  entry* best = nullptr;
+  time_point best_time;
+  for (auto& [name, row] : entries_) {
+    if (now < row.left_out_until) continue;
+    const time_point ready = std::max(row.busy_until, now) + row.trip;
+    if (best && ready >= best_time) continue;
+    best = &row;
+    best_time = ready;
+  }
+  if (!best) best = &entries_.find(self_.name)->second;
+  best->busy_until = std::max(best->busy_until, now) + cost;
+  return best->member;
+}
+
+void advice_router::Finished(std::string_view name, bool answered, time_point now) {
+  const auto found = entries_.find(name);
+  if (found == entries_.end()) return;
+  entry& row = found->second;
+  if (answered) {
+    row.pause = {};
+    return;
+  }
+  row.pause = std::clamp(row.pause * 2, kPause, kLongestPause);
+  row.left_out_until = now + row.pause;
+}
+
+}  // namespace sycamorehinge::control
--- /dev/null
+++ b/packages/control/src/advice_router.h
@@ -0,0 +1,51 @@
+// Chooses the machine that asks the policy service, which serves one call at a time for each.
+#ifndef SYCAMOREHINGE_CONTROL_SRC_ADVICE_ROUTER_H_
+#define SYCAMOREHINGE_CONTROL_SRC_ADVICE_ROUTER_H_
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "sycamorehinge/control/calls.h"
+
+namespace sycamorehinge::control {
+
+class advice_router {
+ public:
+  // Round trips to machines elsewhere, counted as if they were load.
+  static constexpr duration kZoneTrip = std::chrono::milliseconds(4);
+  static constexpr duration kRegionTrip = std::chrono::milliseconds(60);
+  // A machine that gave no answer is left out for this long, doubled each time up to the longest.
+  static constexpr duration kPause = std::chrono::seconds(1);
+  static constexpr duration kLongestPause = std::chrono::seconds(30);
+
+  explicit advice_router(member_info self);
+
+  void SetMember(const member_info& member);
+  void RemoveMember(std::string_view name);
+
+  // The machine that should have the answer first; `cost` is added to its load.
+  const member_info& Choose(duration cost, time_point now);
+  // The call has an answer, or none.
+  void Finished(std::string_view name, bool answered, time_point now);
+
+ private:
+  struct entry {
+    member_info member;
+    duration trip{};
+    // Time at which its calls so far are answered.
+    time_point busy_until;
+    time_point left_out_until;
+    duration pause{};
+  };
+
+  duration Trip(const member_info& member) const;
+
+  const member_info self_;
+  std::map<std::string, entry, std::less<>> entries_;
+};
+
+}  // namespace sycamorehinge::control
+
+#endif  // SYCAMOREHINGE_CONTROL_SRC_ADVICE_ROUTER_H_
--- /dev/null
+++ b/packages/control/src/cell_owner.cc
@@ -0,0 +1,411 @@
+#include "cell_owner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sycamorehinge/control/journal_codec.h"
+
+namespace sycamorehinge::control {
+
+namespace {
+
+constexpr duration kLoadRetry = std::chrono::milliseconds(100);
+constexpr std::string_view kProducer = "cell";
+
+}  // namespace
+
+cell_owner::cell_owner(const ports& port, const control_options& options, decision_log& log,
+                       hooks given)
+    : port_(port), options_(options), log_(log), hooks_(std::move(given)), state_(options.self) {}
+
+void cell_owner::Change(const std::function<void(state&, effects&)>& change) {
+  state_.Apply(
+      [&](state& s, effects& out) {
+        CheckPause(s);
+        change(s, out);
+        Collect(s, out);
+      },
+      [this](const effect& item) { Carry(item); });
+}
+
+void cell_owner::Schedule(std::uint64_t epoch,
+                          const std::function<void(cell::scheduler&)>& change) {
+  Change([&](state& s, effects&) {
+    if (s.now == phase::kActive && s.epoch == epoch) change(*s.scheduler);
+  });
+}
+
+// A process that stood still may have been replaced meanwhile.
+void cell_owner::CheckPause(state& s) {
+  if (s.now != phase::kActive) return;
+  const time_point now = port_.now();
+  const duration pause = now - s.last_tick;
+  if (pause <= options_.pause_limit) return;
+  log_.Write(event_number::kProcessWasPaused, {{"milliseconds", pause.count() / 1000}});
+  s.scheduler->SetMayStart(false);
+  s.resumed = now;
+  s.last_tick = now;
+}
+
+// Turns the scheduler's actions into effects, in order.
+void cell_owner::Collect(state& s, effects& out) {
+  if (!s.scheduler) return;
+  s.scheduler->TakeActions(s.actions);
+  for (cell::action& action : s.actions) {
+    const auto* answer = std::get_if<cell::answer_call>(&action);
+    if (!answer) {
+      out.push_back({s.epoch, std::move(action), {}});
+      continue;
+    }
+    const auto found = s.calls.find(answer->call);
+    if (found == s.calls.end()) continue;
+    peer_answer reply;
+    reply.code = answer->code;
+    reply.phase = answer->phase;
+    reply.pending = answer->pending;
+    reply.retry_after = answer->retry_after;
+    out.push_back({s.epoch, std::nullopt, [reply, call = std::move(found->second)] {
+                     call(reply);
+                   }});
+    s.calls.erase(found);
+  }
+  s.actions.clear();
+}
+
+void cell_owner::Carry(const effect& item) {
+  if (item.run) item.run();
+  if (!item.what) return;
+  const std::uint64_t epoch = item.epoch;
+  std::visit(overloaded{[&](const cell::write_record& write) {
+                          const auto journal = state_.View([&](const state& s) {
+                            return s.epoch == epoch ? s.journal : nullptr;
+                          });
+                          if (journal) journal->Add(write.sequence, write.record);
+                        },
+                        [&](const cell::look_host& look) { Look(epoch, look); },
+                        [&](const cell::start_task& start) { Start(epoch, start); },
+                        [&](const cell::stop_task& stop) { Stop(epoch, stop); },
+                        [&](const cell::pace_task& pace) {
+                          port_.pace(pace, [](cell::call_outcome) {});
+                        },
+                        [&](const cell::ask_advice& ask) { Ask(epoch, ask); },
+                        [&](const cell::step_down&) { Lose(epoch, "fenced by a host"); },
+                        [&](const cell::note_decision& note) { log_.Write(note); },
+                        [](const cell::answer_call&) {}},
+             *item.what);
+}
+
+void cell_owner::OnMembership(const membership& now_member, time_point sent) {
+  Change([&](state& s, effects& out) {
+    if (s.retired) return;
+    if (s.scheduler && s.now == phase::kActive && now_member.owns_cell && sent >= s.resumed) {
+      s.scheduler->SetMayStart(true);
+    }
+    if (!now_member.owns_cell) {
+      if (s.now != phase::kIdle) StepDown(s, s.epoch, "assigned to another process", out);
+      return;
+    }
+    if (s.now != phase::kIdle || now_member.generation < s.least_generation) return;
+    Begin(s, now_member.generation, out);
+  });
+}
+
+void cell_owner::Begin(state& s, std::uint64_t epoch, effects& out) {
+  s.now = phase::kFencing;
+  s.epoch = epoch;
+  journal_handlers handlers;
+  handlers.on_durable = [this, epoch](std::uint64_t sequence) {
+    Schedule(epoch, [sequence](cell::scheduler& scheduler) { scheduler.Durable(sequence); });
+  };
+  handlers.on_fenced = [this, epoch] { Lose(epoch, "fenced by the journal"); };
+  handlers.on_availability = [this](bool available) {
+    log_.Write(available ? event_number::kStoreAvailable : event_number::kStoreUnavailable,
+               {{"stream", "journal"}});
+  };
+  journal_options options;
+  options.producer = kProducer;
+  s.journal = std::make_shared<journal_writer>(port_, options, epoch, std::move(handlers));
+  out.push_back({epoch, std::nullopt, [this, epoch, journal = s.journal] {
+                   journal->Fence([this, epoch](errc code) { OnFenced(epoch, code); });
+                 }});
+}
+
+void cell_owner::OnFenced(std::uint64_t epoch, errc code) {
+  Change([&](state& s, effects& out) {
+    if (s.now != phase::kFencing || s.epoch != epoch) return;
+    if (code == errc::kOk) {
+      s.now = phase::kLoading;
+      s.scheduler = std::make_unique<cell::scheduler>(options_.scheduler);
+      out.push_back({epoch, std::nullopt, [this, epoch] { LoadJournal(epoch, {}); }});
+      return;
+    }
+    // Another try follows with the next membership.
+    s.now = phase::kIdle;
+    s.journal.reset();
+    if (code == errc::kStaleTerm) s.least_generation = epoch + 1;
+  });
+}
+
+void cell_owner::LoadJournal(std::uint64_t epoch, std::string after) {
+  port_.read(stream_name::kJournal, from_newest{after},
+             [this, epoch, after](const result<stream_page>& page) {
+               OnJournalPage(epoch, page, after);
+             });
+}
+
+void cell_owner::OnJournalPage(std::uint64_t epoch, const result<stream_page>& page,
+                               const std::string& after) {
+  if (!page) {
+    port_.at(port_.now() + kLoadRetry, [this, epoch, after] {
+      if (state_.View([&](const state& s) { return s.epoch == epoch; })) LoadJournal(epoch, after);
+    });
+    return;
+  }
+  bool going_on = false;
+  Change([&](state& s, effects&) {
+    if (s.now != phase::kLoading || s.epoch != epoch) return;
+    going_on = true;
+    for (const stream_record& record : page->records) {
+      if (!record.value) continue;
+      result<cell::journal_record> decoded = DecodeJournal(record.key, *record.value);
+      if (decoded) {
+        s.scheduler->Load(std::move(*decoded));
+      } else {
+        log_.Write(event_number::kJournalUnreadable,
+                   {{"key", record.key}, {"error", ErrorName(decoded.code())}});
+      }
+    }
+  });
+  if (!going_on) return;
+  if (page->more && !page->records.empty()) return LoadJournal(epoch, page->records.back().key);
+  LoadHosts(epoch);
+}
+
+void cell_owner::LoadHosts(std::uint64_t epoch) {
+  follower_options options{stream_name::kHosts, {}, options_.host_list_interval};
+  follower_handlers handlers;
+  handlers.on_snapshot = [this, epoch](const std::vector<stream_record>& records) {
+    OnHosts(epoch, records);
+  };
+  handlers.on_change = [this, epoch](const stream_record& record) {
+    OnHostChange(epoch, record);
+  };
+  handlers.on_availability = [this](bool available) {
+    log_.Write(available ? event_number::kStoreAvailable : event_number::kStoreUnavailable,
+               {{"stream", "hosts"}});
+  };
+  auto follower = std::make_shared<stream_follower>(port_, options, std::move(handlers));
+  Change([&](state& s, effects& out) {
+    if (s.now != phase::kLoading || s.epoch != epoch) return;
+    s.hosts = follower;
+    out.push_back({epoch, std::nullopt, [follower] { follower->Start(); }});
+  });
+}
+
+void cell_owner::OnHosts(std::uint64_t epoch, const std::vector<stream_record>& records) {
+  Change([&](state& s, effects& out) {
+    if (s.epoch != epoch || !s.scheduler) return;
+    SetHosts(s, records);
+    if (s.now != phase::kLoading) return;
+    s.now = phase::kActive;
+    s.last_tick = port_.now();
+    if (s.config) s.scheduler->SetConfig(s.config);
+    s.scheduler->BeginTerm(s.scheduler->LoadedTerm() + 1, epoch, s.last_tick, port_.wall_ms());
+    log_.Write(event_number::kCellAcquired,
+               {{"epoch", epoch}, {"term", s.scheduler->LoadedTerm() + 1}});
+    out.push_back({epoch, std::nullopt, [this, epoch] {
+                     hooks_.on_owned({epoch, options_.self.address});
+                     ScheduleTick(epoch);
+                   }});
+  });
+}
+
+void cell_owner::SetHosts(state& s, const std::vector<stream_record>& records) {
+  std::vector<host_id> gone = std::exchange(s.listed, {});
+  for (const stream_record& record : records) {
+    SetHost(s, record);
+    std::erase(gone, host_id{record.key});
+  }
+  for (const host_id& host : gone) s.scheduler->RemoveHost(host, port_.now());
+}
+
+void cell_owner::SetHost(state& s, const stream_record& record) {
+  const host_id id{record.key};
+  std::optional<cell::host_entry> entry;
+  if (record.value) entry = port_.parse_host(record.key, *record.value);
+  if (entry) {
+    if (std::find(s.listed.begin(), s.listed.end(), id) == s.listed.end()) s.listed.push_back(id);
+    return s.scheduler->SetHost(*entry, port_.now());
+  }
+  if (record.value) log_.Write(event_number::kHostEntryUnreadable, {{"host", record.key}});
+  std::erase(s.listed, id);
+  s.scheduler->RemoveHost(id, port_.now());
+}
+
+void cell_owner::OnHostChange(std::uint64_t epoch, const stream_record& record) {
+  Change([&](state& s, effects&) {
+    if (s.epoch == epoch && s.scheduler) SetHost(s, record);
+  });
+}
+
+void cell_owner::Lose(std::uint64_t epoch, std::string_view cause) {
+  Change([&](state& s, effects& out) { StepDown(s, epoch, cause, out); });
+}
+
+void cell_owner::StepDown(state& s, std::uint64_t epoch, std::string_view cause, effects& out) {
+  if (s.epoch != epoch || s.now == phase::kIdle) return;
+  log_.Write(event_number::kCellLost, {{"epoch", epoch}, {"cause", cause}});
+  s.now = phase::kIdle;
+  s.least_generation = epoch + 1;
+  if (s.journal) s.journal->Stop();
+  if (s.hosts) s.hosts->Stop();
+  s.journal.reset();
+  s.hosts.reset();
+  s.scheduler.reset();
+  s.listed.clear();
+  for (auto& [number, reply] : std::exchange(s.calls, {})) {
+    out.push_back({epoch, std::nullopt, [reply = std::move(reply)] {
+                     reply(Refusal(errc::kNotOwner));
+                   }});
+  }
+  out.push_back({epoch, std::nullopt, hooks_.on_lost});
+}
+
+void cell_owner::Retire() {
+  Change([&](state& s, effects& out) {
+    s.retired = true;
+    StepDown(s, s.epoch, "the process is leaving", out);
+  });
+}
+
+void cell_owner::SetConfig(std::shared_ptr<const cell::fleet_config> config) {
+  Change([&](state& s, effects&) {
+    s.config = config;
+    if (s.scheduler) s.scheduler->SetConfig(config);
+  });
+}
+
+void cell_owner::SetMember(const member_info& member) {
+  Change([&](state& s, effects&) { s.advice.SetMember(member); });
+}
+
+void cell_owner::RemoveMember(std::string_view name) {
+  Change([&](state& s, effects&) { s.advice.RemoveMember(name); });
+}
+
+void cell_owner::Call(const peer_call& call, peer_reply reply) {
+  Change([&](state& s, effects& out) {
+    if (s.now != phase::kActive) {
+      out.push_back({s.epoch, std::nullopt,
+                     [reply = std::move(reply)] { reply(Refusal(errc::kNotOwner)); }});
+      return;
+    }
+    const cell::call_number number = s.next_call++;
+    s.calls.emplace(number, std::move(reply));
+    const time_point now = port_.now();
+    std::visit(overloaded{[&](const submit_call& submit) {
+                            s.scheduler->Submit(number, submit.job, submit.queue, submit.spec, now,
+                                                port_.wall_ms());
+                          },
+                          [&](const cancel_call& cancel) {
+                            s.scheduler->Cancel(number, cancel.job, port_.wall_ms());
+                          },
+                          [&](const state_call& asked) { s.scheduler->State(number, asked.job); },
+                          [&](const pending_call& pending) {
+                            s.scheduler->Pending(number, pending.queue);
+                          },
+                          [](const advice_call&) {}},
+               call);
+  });
+}
+
+bool cell_owner::Owns() const {
+  return state_.View([](const state& s) { return s.now == phase::kActive; });
+}
+
+cell::scheduler_summary cell_owner::Summary() const {
+  return state_.View([](const state& s) {
+    return s.scheduler ? s.scheduler->Summary() : cell::scheduler_summary{};
+  });
+}
+
+void cell_owner::ScheduleTick(std::uint64_t epoch) {
+  const auto next = state_.View([&](const state& s) -> std::optional<time_point> {
+    if (s.now != phase::kActive || s.epoch != epoch) return std::nullopt;
+    return s.scheduler->NextTick();
+  });
+  if (next) port_.at(*next, [this, epoch] { Tick(epoch); });
+}
+
+void cell_owner::Tick(std::uint64_t epoch) {
+  const time_point now = port_.now();
+  Change([&](state& s, effects&) {
+    if (s.now != phase::kActive || s.epoch != epoch) return;
+    s.last_tick = now;
+    s.scheduler->Tick(now, port_.wall_ms());
+  });
+  ScheduleTick(epoch);
+}
+
+void cell_owner::Look(std::uint64_t epoch, const cell::look_host& look) {
+  const time_point sent = port_.now();
+  port_.look(look, [this, epoch, host = look.host, sent](cell::call_outcome outcome,
+                                                          const cell::host_look* seen) {
+    Schedule(epoch, [&](cell::scheduler& scheduler) {
+      scheduler.OnLook(host, sent, outcome, seen, port_.now());
+    });
+  });
+}
+
+void cell_owner::Start(std::uint64_t epoch, const cell::start_task& start) {
+  port_.start(start, [this, epoch, host = start.host, task = start.task,
+                      run = start.run](cell::call_outcome outcome) {
+    Schedule(epoch, [&](cell::scheduler& scheduler) {
+      scheduler.OnStart(host, task, run, outcome, port_.now());
+    });
+  });
+}
+
+void cell_owner::Stop(std::uint64_t epoch, const cell::stop_task& stop) {
+  port_.stop(stop, [this, epoch, host = stop.host, task = stop.task,
+                    run = stop.run](cell::call_outcome outcome) {
+    Schedule(epoch, [&](cell::scheduler& scheduler) {
+      scheduler.OnStop(host, task, run, outcome, port_.now());
+    });
+  });
+}
+
+void cell_owner::Ask(std::uint64_t epoch, const cell::ask_advice& ask) {
+  member_info member;
+  Change([&](state& s, effects&) { member = s.advice.Choose(ask.cost, port_.now()); });
+  const duration timeout = ask.cost * 2 + options_.advice_slack;
+  const auto done = [this, epoch, question = ask.question, name = member.name](
+                        const result<std::vector<approved_host>>& outcome) {
+    OnAdvised(epoch, question, name, outcome);
+  };
+  if (member.name == options_.self.name) {
+    return port_.advise(ask.step, ask.hosts, timeout, done);
+  }
+  port_.call_peer(member.address, advice_call{ask.step, ask.hosts}, timeout,
+                  [done](const result<peer_answer>& outcome) {
+                    if (!outcome) return done({outcome.code(), std::string(outcome.detail())});
+                    if (outcome->code != errc::kOk) return done(outcome->code);
+                    done(outcome->approved);
+                  });
+}
+
+void cell_owner::OnAdvised(std::uint64_t epoch, std::uint64_t question, const std::string& member,
+                           const result<std::vector<approved_host>>& outcome) {
+  const time_point now = port_.now();
+  Change([&](state& s, effects&) {
+    s.advice.Finished(member, bool(outcome), now);
+    if (s.now != phase::kActive || s.epoch != epoch) return;
+    std::vector<std::pair<host_id, std::string>> approved;
+    if (outcome) {
+      for (const approved_host& row : *outcome) approved.emplace_back(row.host, row.ticket);
+    }
+    s.scheduler->OnAdvice(question, bool(outcome), approved, now);
+  });
+}
+
+}  // namespace sycamorehinge::control
--- /dev/null
+++ b/packages/control/src/cell_owner.h
@@ -0,0 +1,114 @@
+// Owns the cell while the store's group assigns it here: fences earlier owners, reads the journal,
+// runs the scheduler, and steps down when a newer owner exists.
+#ifndef SYCAMOREHINGE_CONTROL_SRC_CELL_OWNER_H_
+#define SYCAMOREHINGE_CONTROL_SRC_CELL_OWNER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "advice_router.h"
+#include "front.h"
+#include "journal_writer.h"
+#include "stream_follower.h"
+#include "sycamorehinge/cell/scheduler.h"
+#include "sycamorehinge/control/control_node.h"
+#include "sycamorehinge/core/shard.h"
+
+namespace sycamorehinge::control {
+
+class cell_owner {
+ public:
+  struct hooks {
+    std::function<void(const owner_info&)> on_owned;
+    std::function<void()> on_lost;
+  };
+
+  cell_owner(const ports& port, const control_options& options, decision_log& log, hooks hooks);
+
+  // What the group says; `sent` is when it was asked.
+  void OnMembership(const membership& now_member, time_point sent);
+  // Gives up the cell for good.
+  void Retire();
+  void SetConfig(std::shared_ptr<const cell::fleet_config> config);
+  void SetMember(const member_info& member);
+  void RemoveMember(std::string_view name);
+  // Answers kNotOwner unless this process owns the cell.
+  void Call(const peer_call& call, peer_reply reply);
+  cell::scheduler_summary Summary() const;
+  bool Owns() const;
+
+ private:
+  enum class phase { kIdle, kFencing, kLoading, kActive };
+  struct state {
+    phase now = phase::kIdle;
+    std::uint64_t epoch = 0;
+    // Memberships of older generations do not bring the cell back.
+    std::uint64_t least_generation = 0;
+    bool retired = false;
+    time_point last_tick;
+    // End of the last standstill of the process.
+    time_point resumed;
+    std::unique_ptr<cell::scheduler> scheduler;
+    std::shared_ptr<const cell::fleet_config> config;
+    std::shared_ptr<journal_writer> journal;
+    std::shared_ptr<stream_follower> hosts;
+    std::vector<host_id> listed;
+    std::unordered_map<cell::call_number, peer_reply> calls;
+    cell::call_number next_call = 1;
+    advice_router advice;
+    std::vector<cell::action> actions;
+
+    explicit state(member_info self) : advice(std::move(self)) {}
+  };
+  // An action of one epoch, or an answer to deliver.
+  struct effect {
+    std::uint64_t epoch = 0;
+    std::optional<cell::action> what;
+    std::function<void()> run;
+  };
+  using effects = std::vector<effect>;
+
+  void Change(const std::function<void(state&, effects&)>& change);
+  // Changes the scheduler if this process still owns the cell under that epoch.
+  void Schedule(std::uint64_t epoch, const std::function<void(cell::scheduler&)>& change);
+  void Collect(state& s, effects& out);
+  void Carry(const effect& item);
+
+  void Begin(state& s, std::uint64_t epoch, effects& out);
+  void OnFenced(std::uint64_t epoch, errc code);
+  void LoadJournal(std::uint64_t epoch, std::string after);
+  void OnJournalPage(std::uint64_t epoch, const result<stream_page>& page,
+                     const std::string& after);
+  void LoadHosts(std::uint64_t epoch);
+  void OnHosts(std::uint64_t epoch, const std::vector<stream_record>& records);
+  void OnHostChange(std::uint64_t epoch, const stream_record& record);
+  void SetHosts(state& s, const std::vector<stream_record>& records);
+  void SetHost(state& s, const stream_record& record);
+  void StepDown(state& s, std::uint64_t epoch, std::string_view cause, effects& out);
+  void Lose(std::uint64_t epoch, std::string_view cause);
+  void Tick(std::uint64_t epoch);
+  void ScheduleTick(std::uint64_t epoch);
+  void CheckPause(state& s);
+
+  void Look(std::uint64_t epoch, const cell::look_host& look);
+  void Start(std::uint64_t epoch, const cell::start_task& start);
+  void Stop(std::uint64_t epoch, const cell::stop_task& stop);
+  void Ask(std::uint64_t epoch, const cell::ask_advice& ask);
+  void OnAdvised(std::uint64_t epoch, std::uint64_t question, const std::string& member,
+                 const result<std::vector<approved_host>>& outcome);
+
+  const ports& port_;
+  const control_options& options_;
+  decision_log& log_;
+  const hooks hooks_;
+  shard<state, effect> state_;
+};
+
+}  // namespace sycamorehinge::control
+
+#endif  // SYCAMOREHINGE_CONTROL_SRC_CELL_OWNER_H_
--- /dev/null
+++ b/packages/control/src/codec.cc
@@ -0,0 +1,225 @@
+#include <charconv>
+
+#include "sycamorehinge/control/calls.h"
+#include "sycamorehinge/control/journal_codec.h"
+#include "sycamorehinge/wire/archive.h"
+
+namespace sycamorehinge {
+
+template <>
+struct last_of<cell::job_phase> {
+  static constexpr auto kValue = cell::job_phase::kCancelled;
+};
+
+namespace cell {
+
+template <class Archive>
+void serialize(Archive& archive, task_ref& value) {
+  Fields(archive, value.job, value.occurrence, value.step, value.index);
+}
+template <class Archive>
+void serialize(Archive& archive, step_spec& value) {
+  Fields(archive, value.count, value.size.cores_milli, value.size.memory_mb,
+         value.size.accelerators, value.run_time, value.after, value.gang,
+         value.same_rack, value.checkpoints, value.speculative, value.long_running, value.fills,
+         value.label, value.rack, value.spread_limit, value.image, value.latency_target,
+         value.may_miss);
+}
+template <class Archive>
+void serialize(Archive& archive, job_spec& value) {
+  Fields(archive, value.payload, value.steps, value.occurrences, value.first_ms,
+         value.interval_ms);
+}
+template <class Archive>
+void serialize(Archive& archive, term_record& value) {
+  Fields(archive, value.term);
+}
+template <class Archive>
+void serialize(Archive& archive, accepted_record& value) {
+  Fields(archive, value.queue, value.accepted_ms, value.spec);
+}
+template <class Archive>
+void serialize(Archive& archive, task_progress& value) {
+  Fields(archive, value.done, value.failures, value.run);
+}
+template <class Archive>
+void serialize(Archive& archive, occurrence_progress& value) {
+  Fields(archive, value.number, value.steps);
+}
+template <class Archive>
+void serialize(Archive& archive, progress_record& value) {
+  Fields(archive, value.queue, value.phase, value.ended_ms, value.next_occurrence, value.open);
+}
+template <class Archive>
+void serialize(Archive& archive, host_record& value) {
+  Fields(archive, value.address, value.service);
+}
+
+}  // namespace cell
+
+namespace control {
+
+template <class Archive>
+void serialize(Archive& archive, submit_call& value) {
+  Fields(archive, value.job, value.queue, value.spec);
+}
+template <class Archive>
+void serialize(Archive& archive, cancel_call& value) {
+  Fields(archive, value.job);
+}
+template <class Archive>
+void serialize(Archive& archive, state_call& value) {
+  Fields(archive, value.job);
+}
+template <class Archive>
+void serialize(Archive& archive, pending_call& value) {
+  Fields(archive, value.queue);
+}
+template <class Archive>
+void serialize(Archive& archive, advice_call& value) {
+  Fields(archive, value.step, value.hosts);
+}
+template <class Archive>
+void serialize(Archive& archive, owner_info& value) {
+  Fields(archive, value.epoch, value.address);
+}
+template <class Archive>
+void serialize(Archive& archive, approved_host& value) {
+  Fields(archive, value.host, value.ticket);
+}
+template <class Archive>
+void serialize(Archive& archive, peer_answer& value) {
+  Fields(archive, value.code, value.phase, value.pending, value.retry_after, value.approved,
+         value.owner);
+}
+template <class Archive>
+void serialize(Archive& archive, member_info& value) {
+  Fields(archive, value.name, value.address, value.region, value.data_centre);
+}
+
+namespace {
+
+constexpr std::uint8_t kVersion = 1;
+constexpr std::size_t kMaxBytes = std::size_t{4} << 20;
+
+// Keys: a kind and, for jobs, 16 hexadecimal digits.
+constexpr char kTermKey = 't';
+constexpr char kAcceptedKey = 'j';
+constexpr char kProgressKey = 's';
+constexpr char kHostKey = 'h';
+constexpr std::size_t kJobDigits = 16;
+
+template <class Value>
+std::string Encode(const Value& value) {
+  std::string bytes(1, static_cast<char>(kVersion));
+  output_archive archive(bytes);
+  // Fields are shared between reading and writing; writing leaves the value unchanged.
+  Field(archive, const_cast<Value&>(value));
+  return bytes;
+}
+
+template <class Value>
+errc DecodeInto(std::string_view bytes, Value& value) {
+  if (bytes.empty()) return errc::kTruncated;
+  if (bytes.size() > kMaxBytes) return errc::kTooLarge;
+  if (static_cast<std::uint8_t>(bytes.front()) != kVersion) return errc::kWrongVersion;
+  input_archive archive(bytes.substr(1));
+  try {
+    Field(archive, value);
+  } catch (const decode_failure& failure) {
+    return failure.code;
+  }
+  return archive.Remaining() > 0 ? errc::kMalformed : errc::kOk;
+}
+
+template <class Value>
+result<Value> Decode(std::string_view bytes) {
+  Value value;
+  if (const errc code = DecodeInto(bytes, value); code != errc::kOk) return code;
+  return value;
+}
+
+std::string JobKey(char kind, cell::job_number job) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string key(1, kind);
+  for (int shift = 60; shift >= 0; shift -= 4) key += kDigits[(job >> shift) & 0xf];
+  return key;
+}
+
+bool ParseJobKey(std::string_view key, cell::job_number& job) {
+  if (key.size() != 1 + kJobDigits) return false;
+  const char* end = key.data() + key.size();
+  return std::from_chars(key.data() + 1, end, job, 16).ptr == end;
+}
+
+template <class Record>
+result<cell::journal_record> DecodeJobRecord(std::string_view key, std::string_view value) {
+  Record record;
+  if (!ParseJobKey(key, record.job)) return errc::kMalformed;
+  if (const errc code = DecodeInto(value, record); code != errc::kOk) return code;
+  return cell::journal_record(std::move(record));
+}
+
+}  // namespace
+
+std::string EncodeCall(const peer_call& call) { return Encode(call); }
+result<peer_call> DecodeCall(std::string_view bytes) { return Decode<peer_call>(bytes); }
+std::string EncodeAnswer(const peer_answer& answer) { return Encode(answer); }
+result<peer_answer> DecodeAnswer(std::string_view bytes) { return Decode<peer_answer>(bytes); }
+std::string EncodeOwner(const owner_info& owner) { return Encode(owner); }
+result<owner_info> DecodeOwner(std::string_view bytes) { return Decode<owner_info>(bytes); }
+std::string EncodeMember(const member_info& member) { return Encode(member); }
+result<member_info> DecodeMember(std::string_view bytes) { return Decode<member_info>(bytes); }
+
+void AppendEncoded(const cell::journal_record& record, std::vector<stream_record>& out) {
+  std::visit(
+      overloaded{
+          [&](const cell::term_record& row) {
+            out.push_back({std::string(1, kTermKey), Encode(row)});
+          },
+          [&](const cell::accepted_record& row) {
+            out.push_back({JobKey(kAcceptedKey, row.job), Encode(row)});
+          },
+          [&](const cell::progress_record& row) {
+            out.push_back({JobKey(kProgressKey, row.job), Encode(row)});
+          },
+          [&](const cell::retire_job& row) {
+            out.push_back({JobKey(kAcceptedKey, row.job), std::nullopt});
+          },
+          [&](const cell::forget_job& row) {
+            out.push_back({JobKey(kProgressKey, row.job), std::nullopt});
+          },
+          [&](const cell::host_record& row) {
+            out.push_back({kHostKey + row.host.value, Encode(row)});
+          },
+          [&](const cell::forget_host& row) {
+            out.push_back({kHostKey + row.host.value, std::nullopt});
+          }},
+      record);
+}
+
+result<cell::journal_record> DecodeJournal(std::string_view key, std::string_view value) {
+  if (key.empty()) return errc::kMalformed;
+  switch (key.front()) {
+    case kTermKey: {
+      cell::term_record record;
+      if (const errc code = DecodeInto(value, record); code != errc::kOk) return code;
+      return cell::journal_record(record);
+    }
+    case kAcceptedKey:
+      return DecodeJobRecord<cell::accepted_record>(key, value);
+    case kProgressKey:
+      return DecodeJobRecord<cell::progress_record>(key, value);
+    case kHostKey: {
+      cell::host_record record;
+      record.host.value = key.substr(1);
+      if (const errc code = DecodeInto(value, record); code != errc::kOk) return code;
+      return cell::journal_record(std::move(record));
+    }
+    default:
+      return errc::kMalformed;
+  }
+}
+
+}  // namespace control
+}  // namespace sycamorehinge
--- /dev/null
+++ b/packages/control/src/decision_log.cc
@@ -0,0 +1,76 @@
+#include <charconv>
+#include <string>
+
+#include "sycamorehinge/control/control_node.h"
+
+namespace sycamorehinge::control {
+
+namespace {
+
+event_number EventOf(cell::decision_kind kind) {
+  using cell::decision_kind;
+  switch (kind) {
+    case decision_kind::kJobAccepted:
+      return event_number::kCellJobAccepted;
+    case decision_kind::kJobRefused:
+      return event_number::kCellJobRefused;
+    case decision_kind::kJobCancelled:
+      return event_number::kCellJobCancelled;
+    case decision_kind::kJobEnded:
+      return event_number::kCellJobEnded;
+    case decision_kind::kTaskStarted:
+      return event_number::kCellTaskStarted;
+    case decision_kind::kTaskEnded:
+      return event_number::kCellTaskEnded;
+    case decision_kind::kTaskLost:
+      return event_number::kCellTaskLost;
+    case decision_kind::kTaskStopped:
+      return event_number::kCellTaskStopped;
+    case decision_kind::kStartFailed:
+      return event_number::kCellStartFailed;
+    case decision_kind::kHostFound:
+      return event_number::kCellHostFound;
+    case decision_kind::kHostGone:
+      return event_number::kCellHostGone;
+    case decision_kind::kHostUnreachable:
+      return event_number::kCellHostUnreachable;
+    case decision_kind::kHostRestarted:
+      return event_number::kCellHostRestarted;
+    case decision_kind::kHostAvoided:
+      return event_number::kCellHostAvoided;
+    case decision_kind::kRecoveryFinished:
+      return event_number::kRecoveryFinished;
+  }
+  return event_number::kRecoveryFinished;
+}
+
+// A job as its callers write it, then occurrence, step, task and run.
+std::string SubjectOf(const cell::note_decision& decision) {
+  if (decision.task.job == 0) return decision.host;
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (int shift = 60; shift >= 0; shift -= 4) text += kDigits[(decision.task.job >> shift) & 0xf];
+  if (decision.run == 0) return text;
+  for (const std::uint32_t part :
+       {decision.task.occurrence, decision.task.step, decision.task.index}) {
+    text += '.' + std::to_string(part);
+  }
+  return text + '/' + std::to_string(decision.run);
+}
+
+}  // namespace
+
+void decision_log::Write(const cell::note_decision& decision) const {
+  const std::string subject = SubjectOf(decision);
+  Write(EventOf(decision.kind),
+        {{"subject", std::string_view(subject)},
+         {"host", std::string_view(decision.host)},
+         {"cause", std::string_view(decision.cause)},
+         {"after_ms", std::int64_t{decision.age.count() / 1000}}});
+}
+
+void decision_log::Write(event_number number, std::initializer_list<event_field> fields) const {
+  if (observer_.events) observer_.events->Write(number, fields);
+}
+
+}  // namespace sycamorehinge::control
--- /dev/null
+++ b/packages/control/src/stream_follower.h
@@ -0,0 +1,63 @@
+// Follows a stream of the store: its newest records first, then each change.
+#ifndef SYCAMOREHINGE_CONTROL_SRC_STREAM_FOLLOWER_H_
+#define SYCAMOREHINGE_CONTROL_SRC_STREAM_FOLLOWER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sycamorehinge/control/ports.h"
+
+namespace sycamorehinge::control {
+
+struct follower_options {
+  stream_name stream = stream_name::kConfig;
+  // The store may hold an answer back this long until there is a change.
+  duration wait{};
+  // Pause between two reads.
+  duration pause{};
+};
+
+struct follower_handlers {
+  // All records of the stream; keys that are missing are gone.
+  std::function<void(std::vector<stream_record>)> on_snapshot;
+  std::function<void(stream_record)> on_change;
+  // The store stopped or resumed to answer.
+  std::function<void(bool available)> on_availability;
+};
+
+// Handlers run on threads of the ports, one at a time. Nothing runs after Stop.
+class stream_follower : public std::enable_shared_from_this<stream_follower> {
+ public:
+  stream_follower(const ports& port, follower_options options, follower_handlers handlers);
+
+  void Start();
+  void Stop();
+
+ private:
+  void Read();
+  void OnPage(const result<stream_page>& page, bool snapshot);
+  void OnSnapshotPage(const stream_page& page);
+  void Later(duration pause);
+
+  const ports& port_;
+  const follower_options options_;
+  const follower_handlers handlers_;
+
+  std::mutex mutex_;
+  bool stopped_ = false;
+  bool available_ = true;
+  duration backoff_{};
+  read_position position_ = from_newest{};
+  std::vector<stream_record> snapshot_;
+  // Offset from which changes since the first page of the snapshot are read.
+  std::uint64_t snapshot_next_ = 0;
+};
+
+}  // namespace sycamorehinge::control
+
+#endif  // SYCAMOREHINGE_CONTROL_SRC_STREAM_FOLLOWER_H_
--- a/packages/node/src/shard.h
+++ b/packages/core/include/sycamorehinge/core/shard.h
@@ -1,6 +1,6 @@
 // State under one lock, with ordered delivery of what changes cause.
-#ifndef SYCAMOREHINGE_NODE_SRC_SHARD_H_
-#define SYCAMOREHINGE_NODE_SRC_SHARD_H_
+#ifndef SYCAMOREHINGE_CORE_SHARD_H_
+#define SYCAMOREHINGE_CORE_SHARD_H_
 
 #include <mutex>
 #include <utility>
@@ -48,4 +48,4 @@
 
 }  // namespace sycamorehinge
 
-#endif  // SYCAMOREHINGE_NODE_SRC_SHARD_H_
+#endif  // SYCAMOREHINGE_CORE_SHARD_H_
--- a/packages/entry/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -2,9 +2,11 @@
 #include <CLI/CLI.hpp>
 #include <atomic>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 #include "entry_process.h"
+#include "platform_process.h"
 #include "sycamorehinge/settings/parameters.h"
 #include "sycamorehinge/settings/secret.h"
 #include "wiring.h"
@@ -60,16 +62,50 @@
   return outcome == errc::kOk ? kExitOk : kExitFailed;
 }
 
+// Runs on the users' platform, with the settings file that the platform names.
+int RunOnPlatform() {
+  const char* path = std::getenv(platform::kSettingsVariable);
+  if (!path) {
+    std::cerr << platform::kSettingsVariable << " is not set\n";
+    return kExitSettings;
+  }
+  result<platform::platform_settings> settings = platform::LoadSettings(path);
+  if (!settings) {
+    std::cerr << path << ": " << settings.detail() << "\n";
+    return kExitSettings;
+  }
+  sigset_t signals = BlockSignals();
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  const pthread_t main_thread = pthread_self();
+  platform_process process(std::move(*settings), path,
+                           [main_thread] { pthread_kill(main_thread, SIGUSR1); });
+  if (process.Start() != errc::kOk) return kExitFailed;
+  int signal = 0;
+  while (sigwait(&signals, &signal) == 0 && signal != SIGUSR1) {
+    if (signal == SIGHUP) {
+      process.Reload();
+    } else {
+      process.Drain();
+    }
+  }
+  return kExitOk;
+}
+
 int Main(int argc, char** argv) {
   CLI::App app("Entry process of the sycamorehinge cluster scheduler", "sycamorehinged");
   std::string path;
   bool check = false;
   bool help_settings = false;
+  bool on_platform = false;
   app.set_version_flag("--version", std::string("sycamorehinged ") + SYCAMOREHINGE_VERSION);
   app.add_option("--settings", path, "TOML file with the settings of this process");
   app.add_flag("--check", check, "Check the settings and exit");
   app.add_flag("--help-settings", help_settings, "Print all settings and exit");
+  app.add_flag("--platform", on_platform,
+               "Run on the users' platform, with the settings file that it provides");
   CLI11_PARSE(app, argc, argv);
+  if (on_platform) return RunOnPlatform();
   if (help_settings) {
     std::cout << ParameterHelp();
     return kExitOk;
--- /dev/null
+++ b/packages/entry/src/peer_calls.cc
@@ -0,0 +1,36 @@
+#include "peer_calls.h"
+
+#include <utility>
+
+namespace sycamorehinge {
+
+void CallPeer(http_client& http, std::string_view address, const control::peer_call& call,
+              duration timeout, control::completion<control::peer_answer> done) {
+  http_call request;
+  request.method = "POST";
+  request.url = "http://" + std::string(address) + "/call";
+  request.body = control::EncodeCall(call);
+  request.timeout = timeout;
+  http.Send(std::move(request), [done = std::move(done)](const result<http_reply>& reply) {
+    if (!reply) {
+      const bool sent = reply.detail() != kRefusedDetail && reply.detail() != kNotSentDetail;
+      return done({sent ? reply.code() : errc::kConnectionFailed,
+                   std::string(sent ? reply.detail() : kRefusedDetail)});
+    }
+    if (reply->status != 200) return done({errc::kHttpStatus, std::to_string(reply->status)});
+    done(control::DecodeAnswer(reply->body));
+  });
+}
+
+http_server::handler MakePeerHandler(control::control_node& node) {
+  return [&node](const http_request& request, http_server::reply_function reply) {
+    result<control::peer_call> call = control::DecodeCall(request.body);
+    if (!call) return reply(ErrorResponse(call.code()));
+    node.OnPeerCall(std::move(*call), [reply = std::move(reply)](
+                                          const control::peer_answer& answer) {
+      reply({200, {}, control::EncodeAnswer(answer)});
+    });
+  };
+}
+
+}  // namespace sycamorehinge
--- /dev/null
+++ b/packages/entry/src/platform_process.cc
@@ -0,0 +1,200 @@
+#include "platform_process.h"
+
+#include <iostream>
+#include <utility>
+
+#include "peer_calls.h"
+#include "sycamorehinge/platform/ingress.h"
+
+namespace sycamorehinge {
+
+namespace {
+
+// New connections keep coming until two checks of readiness, a second apart, have failed.
+constexpr duration kDrainLeast = std::chrono::milliseconds(2300);
+constexpr duration kDrainPoll = std::chrono::milliseconds(50);
+// Time kept for the end of the process before it is killed.
+constexpr duration kDrainReserve = std::chrono::milliseconds(900);
+constexpr duration kSettingsInterval = std::chrono::seconds(2);
+// Connections of peers and of the readiness check.
+constexpr unsigned kInnerConnections = 400;
+// Leases leave this much of the longest one that hosts grant.
+constexpr duration kLeaseReserve = std::chrono::milliseconds(500);
+// Names of processes are told apart by the time of their start.
+constexpr std::int64_t kMemberModulus = 1'000'000'000;
+
+event_log_options EventOptions(const runtime_clock& clock) {
+  event_log_options options;
+  options.out = &std::cout;
+  // Decisions about different tasks are different subjects; the limit bounds the volume.
+  options.repeat_interval = std::chrono::seconds(1);
+  options.max_subjects = 2048;
+  options.now = [&clock] { return Now(clock); };
+  options.wall_ms = [&clock] { return WallMilliseconds(clock); };
+  return options;
+}
+
+http_client_options ClientOptions(std::size_t max_sockets) {
+  http_client_options options;
+  options.max_kept_connections = static_cast<long>(max_sockets / 4);
+  return options;
+}
+
+}  // namespace
+
+platform_process::platform_process(platform::platform_settings settings, std::string path,
+                                   std::function<void()> stop)
+    : path_(std::move(path)),
+      settings_(std::move(settings)),
+      stop_(std::move(stop)),
+      events_(EventOptions(clock_)),
+      http_(ClientOptions(settings_.Get().max_sockets)),
+      store_(http_, settings_),
+      hosts_(http_, settings_),
+      timers_(std::make_unique<timer_queue>(clock_)) {}
+
+platform_process::~platform_process() {
+  front_.reset();
+  ready_.reset();
+  peers_.reset();
+  events_.Write(event_number::kProcessStopped);
+}
+
+control::control_options platform_process::MakeOptions() const {
+  const platform::platform_settings settings = settings_.Get();
+  control::control_options options;
+  options.self.name = settings.node;
+  options.self.address = settings.ip + ":" + std::to_string(settings.peer_port);
+  options.self.region = settings.region;
+  options.self.data_centre = settings.data_centre;
+  options.member =
+      settings.node + "-" + std::to_string(WallMilliseconds(clock_) % kMemberModulus);
+  options.membership_ttl = std::max(options.membership_ttl, settings.least_ttl);
+  cell::scheduler_options& scheduler = options.scheduler;
+  scheduler.lease = std::min(scheduler.lease, settings.longest_lease - kLeaseReserve);
+  scheduler.stop_timeout = settings.stop_timeout;
+  scheduler.job_retention = std::max(scheduler.job_retention, settings.status_retention * 5 / 4);
+  return options;
+}
+
+control::ports platform_process::MakePorts() {
+  control::ports port;
+  port.now = [this] { return Now(clock_); };
+  port.wall_ms = [this] { return WallMilliseconds(clock_); };
+  port.at = [this](time_point when, std::function<void()> task) {
+    timers_->At(when, std::move(task));
+  };
+  port.read = [this](control::stream_name stream, const control::read_position& position,
+                     control::completion<control::stream_page> done) {
+    store_.Read(stream, position, std::move(done));
+  };
+  port.append = [this](control::stream_name stream,
+                       const std::optional<control::append_guard>& guard,
+                       const std::vector<control::stream_record>& records,
+                       control::completion<std::uint64_t> done) {
+    store_.Append(stream, guard, records, std::move(done));
+  };
+  port.join = [this](std::string_view member, std::uint64_t generation, duration ttl,
+                     control::completion<control::membership> done) {
+    store_.Join(member, generation, ttl, std::move(done));
+  };
+  port.leave = [this](std::string_view member, std::function<void()> done) {
+    store_.Leave(member, std::move(done));
+  };
+  port.parse_config = &platform::ParseConfig;
+  port.parse_host = &platform::ParseHostEntry;
+  port.look = [this](const cell::look_host& look, auto done) {
+    hosts_.Look(look, std::move(done));
+  };
+  port.start = [this](const cell::start_task& start, auto done) {
+    hosts_.Start(start, std::move(done));
+  };
+  port.stop = [this](const cell::stop_task& stop, auto done) {
+    hosts_.Stop(stop, std::move(done));
+  };
+  port.pace = [this](const cell::pace_task& pace, auto done) {
+    hosts_.Pace(pace, std::move(done));
+  };
+  port.advise = [this](const cell::task_ref& step, const std::vector<host_id>& hosts,
+                       duration timeout, auto done) {
+    hosts_.Advise(step, hosts, timeout, std::move(done));
+  };
+  port.call_peer = [this](std::string_view address, const control::peer_call& call,
+                          duration timeout, auto done) {
+    CallPeer(http_, address, call, timeout, std::move(done));
+  };
+  return port;
+}
+
+errc platform_process::Start() {
+  const platform::platform_settings settings = settings_.Get();
+  node_ = std::make_unique<control::control_node>(MakeOptions(), MakePorts(),
+                                                  control::control_observer{&events_, nullptr});
+  http_server_options options;
+  options.listen = settings.front.host;
+  options.port = settings.front.port;
+  options.max_connections = static_cast<unsigned>(settings.max_sockets * 3 / 4);
+  front_ = std::make_unique<http_server>(
+      options, platform::MakeIngress(*node_, [this] { return Now(clock_); }));
+  options.max_connections = kInnerConnections;
+  options.listen = settings.ready.host;
+  options.port = settings.ready.port;
+  ready_ = std::make_unique<http_server>(options, platform::MakeReadiness(*node_));
+  options.listen = settings.ip;
+  options.port = settings.peer_port;
+  options.max_body_bytes = std::size_t{4} << 20;
+  peers_ = std::make_unique<http_server>(options, MakePeerHandler(*node_));
+  for (http_server* server : {front_.get(), ready_.get(), peers_.get()}) {
+    if (const errc code = server->Start(); code != errc::kOk) {
+      events_.Write(event_number::kListenFailed);
+      return code;
+    }
+  }
+  events_.Write(event_number::kProcessStarted, {{"node", settings.node}});
+  node_->Start();
+  WatchSettings();
+  return errc::kOk;
+}
+
+void platform_process::Drain() {
+  if (std::exchange(draining_, true)) return;
+  events_.Write(event_number::kDrainStarted);
+  draining_since_ = Now(clock_);
+  node_->Drain();
+  FinishDrain();
+}
+
+// Ends when no call is open any more and no new ones can come, or when time is up.
+void platform_process::FinishDrain() {
+  const duration spent = Now(clock_) - draining_since_;
+  const bool idle = spent >= kDrainLeast && node_->Summary().open_calls == 0;
+  if (!idle && spent < settings_.Get().grace - kDrainReserve) {
+    timers_->After(kDrainPoll, [this] { FinishDrain(); });
+    return;
+  }
+  events_.Write(event_number::kDrainFinished);
+  stop_();
+}
+
+// The file may change without a signal.
+void platform_process::WatchSettings() {
+  timers_->After(kSettingsInterval, [this] {
+    Reload();
+    WatchSettings();
+  });
+}
+
+void platform_process::Reload() {
+  result<platform::platform_settings> next = platform::LoadSettings(path_);
+  if (!next) {
+    events_.Write(event_number::kSettingsInvalid, {{"field", next.detail()}});
+    return;
+  }
+  const platform::platform_settings before = settings_.Get();
+  const bool changed = before.store != next->store || before.advice != next->advice ||
+                       before.machines != next->machines || before.grace != next->grace;
+  settings_.Set(std::move(*next));
+  if (changed) events_.Write(event_number::kSettingsReloaded);
+}
+
+}  // namespace sycamorehinge
--- a/packages/net/include/sycamorehinge/net/http_server.h
+++ b/packages/net/include/sycamorehinge/net/http_server.h
@@ -1,4 +1,5 @@
-// HTTP/1.1 server on ulfius: one thread for each connection, asynchronous replies.
+// HTTP/1.1 server on libmicrohttpd, the library under ulfius: one thread serves all connections,
+// and a connection without a reply is suspended. ulfius itself needs a thread for each of them.
 #ifndef SYCAMOREHINGE_NET_HTTP_SERVER_H_
 #define SYCAMOREHINGE_NET_HTTP_SERVER_H_
 
@@ -27,8 +28,7 @@
   unsigned max_connections = 1024;
   // Time until a request that got no reply is answered with 504.
   duration request_timeout = std::chrono::seconds(60);
-  // A connection that sends and receives nothing for this long is closed; whole seconds, at least
-  // twice the request timeout.
+  // A connection that waits for its next request this long is closed; whole seconds.
   duration idle_timeout = std::chrono::seconds(120);
 };
 
@@ -61,8 +61,8 @@
 class http_server {
  public:
   using reply_function = std::function<void(http_response)>;
-  // Runs on the connection's thread, which then waits for the reply. `reply` may be called on any
-  // thread, also from inside the handler; calls after the first are ignored.
+  // Runs on the server's thread and must not block. `reply` may be called on any thread, also from
+  // inside the handler; calls after the first are ignored.
   using handler = std::function<void(const http_request&, reply_function reply)>;
 
   // Call Start before anything else.
--- a/packages/net/src/json_fields.h
+++ b/packages/net/include/sycamorehinge/net/json_fields.h
@@ -1,6 +1,6 @@
 // Typed reads of JSON fields that report a wrong or missing field instead of throwing.
-#ifndef SYCAMOREHINGE_NET_SRC_JSON_FIELDS_H_
-#define SYCAMOREHINGE_NET_SRC_JSON_FIELDS_H_
+#ifndef SYCAMOREHINGE_NET_JSON_FIELDS_H_
+#define SYCAMOREHINGE_NET_JSON_FIELDS_H_
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -30,9 +30,16 @@
   resources Room(const char* name);
   const nlohmann::json& Array(const char* name);
 
-  // Optional fields.
+  // Optional fields. Absent and null take the other value; a wrong type makes the read invalid.
   std::string TextOr(const char* name, std::string_view otherwise);
   bool FlagOr(const char* name, bool otherwise);
+  std::uint64_t NumberOr(const char* name, std::uint64_t otherwise);
+  std::int64_t IntegerOr(const char* name, std::int64_t otherwise);
+  double RealOr(const char* name, double otherwise);
+  duration MillisecondsOr(const char* name, duration otherwise);
+  // Empty if there is none.
+  const nlohmann::json& ArrayOrEmpty(const char* name);
+  const nlohmann::json& ObjectOrEmpty(const char* name);
   resources RoomOr(const char* name, const resources& otherwise);
 
  private:
@@ -55,4 +62,4 @@
 
 }  // namespace sycamorehinge
 
-#endif  // SYCAMOREHINGE_NET_SRC_JSON_FIELDS_H_
+#endif  // SYCAMOREHINGE_NET_JSON_FIELDS_H_
--- a/packages/net/src/url.h
+++ b/packages/net/include/sycamorehinge/net/url.h
@@ -1,6 +1,6 @@
 // Escaping of names in URLs.
-#ifndef SYCAMOREHINGE_NET_SRC_URL_H_
-#define SYCAMOREHINGE_NET_SRC_URL_H_
+#ifndef SYCAMOREHINGE_NET_URL_H_
+#define SYCAMOREHINGE_NET_URL_H_
 
 #include <string>
 #include <string_view>
@@ -12,4 +12,4 @@
 
 }  // namespace sycamorehinge
 
-#endif  // SYCAMOREHINGE_NET_SRC_URL_H_
+#endif  // SYCAMOREHINGE_NET_URL_H_
--- a/packages/net/src/host_codec.cc
+++ b/packages/net/src/host_codec.cc
@@ -5,8 +5,8 @@
 #include <string_view>
 #include <utility>
 
-#include "json_fields.h"
-#include "url.h"
+#include "sycamorehinge/net/json_fields.h"
+#include "sycamorehinge/net/url.h"
 
 namespace sycamorehinge {
 
--- a/packages/net/src/host_list_client.cc
+++ b/packages/net/src/host_list_client.cc
@@ -3,7 +3,7 @@
 #include <optional>
 #include <utility>
 
-#include "json_fields.h"
+#include "sycamorehinge/net/json_fields.h"
 
 namespace sycamorehinge {
 
--- a/packages/net/src/http_error.cc
+++ b/packages/net/src/http_error.cc
@@ -1,6 +1,6 @@
 #include <nlohmann/json.hpp>
 
-#include "json_fields.h"
+#include "sycamorehinge/net/json_fields.h"
 #include "sycamorehinge/net/http_server.h"
 
 namespace sycamorehinge {
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -1,13 +1,15 @@
 #include "sycamorehinge/net/http_server.h"
 
-#include <ulfius.h>
+#include <microhttpd.h>
 
 #include <algorithm>
 #include <condition_variable>
+#include <deque>
 #include <mutex>
 #include <utility>
 
 #include "listen_socket.h"
+#include "sycamorehinge/net/runtime_clock.h"
 
 namespace sycamorehinge {
 
@@ -16,45 +18,18 @@
 constexpr int kListenBacklog = 511;
 // libmicrohttpd keeps the head of a request in this pool; headers that do not even fit there get
 // its own bare 431.
-constexpr std::size_t kPoolBytesPerHeaderByte = 4;
-constexpr std::size_t kPoolBase = std::size_t{32} << 10;
+constexpr std::size_t kPoolBytesPerHeaderByte = 2;
+constexpr std::size_t kPoolBase = std::size_t{8} << 10;
 
-// Reply of one request; shared between the waiting connection thread and the replier.
-class pending_reply {
- public:
-  void Set(http_response response) {
-    {
-      const std::lock_guard lock(mutex_);
-      if (response_) return;
-      response_ = std::move(response);
-    }
-    ready_.notify_one();
-  }
-
-  http_response Wait(duration timeout) {
-    std::unique_lock lock(mutex_);
-    if (!ready_.wait_for(lock, timeout, [this] { return response_.has_value(); })) {
-      // Set ignores replies that come later.
-      response_.emplace();
-      return ErrorResponse(errc::kTimeout, "the request took too long");
-    }
-    return std::move(*response_);
-  }
-
- private:
-  std::mutex mutex_;
-  std::condition_variable ready_;
-  std::optional<http_response> response_;
-};
+MHD_Result AddView(void* views, MHD_ValueKind /*kind*/, const char* name, const char* value) {
+  // A parameter without '=' has no value.
+  static_cast<std::vector<http_header_view>*>(views)->push_back({name, value ? value : ""});
+  return MHD_YES;
+}
 
-std::vector<http_header_view> ViewsOf(const _u_map* map) {
+std::vector<http_header_view> ViewsOf(MHD_Connection* connection, MHD_ValueKind kind) {
   std::vector<http_header_view> views;
-  const int count = u_map_count(map);
-  for (int i = 0; i < count; ++i) {
-    // The lengths count a closing zero; a parameter without '=' has no value.
-    const char* value = map->values[i];
-    views.push_back({map->keys[i], value == nullptr ? "" : value});
-  }
+  MHD_get_connection_values(connection, kind, &AddView, &views);
   return views;
 }
 
@@ -73,8 +48,52 @@
 
 std::string_view PathOf(std::string_view url) { return url.substr(0, url.find('?')); }
 
-// True while the request on this connection's thread counts as in flight.
-thread_local bool request_counted = false;
+// One request and its reply; shared by the connection and whoever replies.
+class exchange {
+ public:
+  explicit exchange(const char* url) : url_(url) {}
+
+  const std::string& Url() const { return url_; }
+  std::string& Body() { return body_; }
+
+  // Keeps the first reply and wakes the connection if it waits.
+  void Reply(http_response response) {
+    const std::lock_guard lock(mutex_);
+    if (response_) return;
+    response_ = std::move(response);
+    if (suspended_) MHD_resume_connection(suspended_);
+    suspended_ = nullptr;
+  }
+  // Takes the connection out of the event loop until the reply comes; false if it is there.
+  bool SuspendUntilReply(MHD_Connection* connection) {
+    const std::lock_guard lock(mutex_);
+    if (response_) return false;
+    suspended_ = connection;
+    MHD_suspend_connection(connection);
+    return true;
+  }
+  bool Replied() const {
+    const std::lock_guard lock(mutex_);
+    return response_.has_value();
+  }
+  http_response TakeReply() {
+    const std::lock_guard lock(mutex_);
+    return std::move(*response_);
+  }
+
+  // Used by the event loop only.
+  bool begun = false;
+  bool dispatched = false;
+
+ private:
+  const std::string url_;
+  std::string body_;
+  mutable std::mutex mutex_;
+  std::optional<http_response> response_;
+  MHD_Connection* suspended_ = nullptr;
+};
+
+using exchange_handle = std::shared_ptr<exchange>;
 
 }  // namespace
 
@@ -91,21 +110,23 @@
   std::uint16_t Port() const { return port_; }
 
  private:
-  static int OnRequest(const _u_request* request, _u_response* response, void* self);
+  static void* OnUri(void* self, const char* uri, MHD_Connection* connection);
+  static MHD_Result OnRequest(void* self, MHD_Connection* connection, const char* url,
+                              const char* method, const char* version, const char* data,
+                              std::size_t* size, void** state);
   static void OnCompleted(void* self, MHD_Connection* connection, void** state,
                           MHD_RequestTerminationCode code);
 
-  http_response Answer(const _u_request& raw);
-  http_response Dispatch(const http_request& request);
+  void Dispatch(MHD_Connection* connection, const char* method, const exchange_handle& current);
+  MHD_Result SendReply(MHD_Connection* connection, http_response answer);
   bool Begin();
   void End();
-  bool StartDaemon();
-  void WriteResponse(const http_response& answer, _u_response& response);
+  void WatchTimeout(const exchange_handle& current);
+  void ExpireRequests();
 
   const http_server_options& options_;
   const handler& handle_;
-  _u_instance instance_{};
-  bool started_ = false;
+  MHD_Daemon* daemon_ = nullptr;
   std::uint16_t port_ = 0;
 
   std::mutex mutex_;
@@ -113,50 +134,36 @@
   std::size_t in_flight_ = 0;
   bool draining_ = false;
   bool closed_ = false;
+  // Requests without a reply, oldest first: all have the same timeout.
+  std::deque<std::pair<time_point, std::weak_ptr<exchange>>> waiting_;
+  bool timer_set_ = false;
+  const runtime_clock clock_ = system_clock();
+  timer_queue timers_{clock_};
 };
 
 bool http_server::running::Start() {
   socket_fd listener = ListenOn(options_.listen, options_.port, kListenBacklog, port_);
   if (listener.Get() < 0) return false;
-  // The listener is already bound, so the port is only what ulfius prints and checks.
-  if (ulfius_init_instance(&instance_, port_, nullptr, nullptr) != U_OK) return false;
-  // One more byte than allowed, so that a body that is too large can be told from one that fits.
-  instance_.max_post_body_size = options_.max_body_bytes + 1;
-  instance_.allowed_post_processor = U_POST_PROCESS_NONE;
-  instance_.check_utf8 = 0;
-  ulfius_set_default_endpoint(&instance_, &running::OnRequest, this);
-  ulfius_add_endpoint_by_val(&instance_, "*", nullptr, "*", 0, &running::OnRequest, this);
-  const int fd = listener.Get();
-  // libmicrohttpd counts the time of the handler as idle and would drop its late answer.
-  const duration quiet = std::max(options_.idle_timeout, 2 * options_.request_timeout);
-  const auto idle = std::chrono::ceil<std::chrono::seconds>(quiet).count();
+  const auto idle = std::chrono::ceil<std::chrono::seconds>(options_.idle_timeout).count();
   const std::size_t pool = kPoolBase + options_.max_header_bytes * kPoolBytesPerHeaderByte;
-  MHD_OptionItem items[] = {
-      {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&running::OnCompleted), this},
-      {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&ulfius_uri_logger), nullptr},
-      {MHD_OPTION_LISTEN_SOCKET, fd, nullptr},
-      {MHD_OPTION_CONNECTION_LIMIT, static_cast<std::intptr_t>(options_.max_connections), nullptr},
-      {MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(pool), nullptr},
-      {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<std::intptr_t>(idle), nullptr},
-      {MHD_OPTION_END, 0, nullptr}};
-  // The flags of ulfius's own start, with poll instead of select for descriptors above 1024 and
-  // the wakeup channel that MHD_quiesce_daemon needs.
+  // One thread serves all connections: a thread for each costs nine times the processor time.
   constexpr unsigned kFlags =
-      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
-  if (ulfius_start_framework_with_mhd_options(&instance_, kFlags, items) != U_OK) {
-    ulfius_clean_instance(&instance_);
-    return false;
-  }
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+  daemon_ = MHD_start_daemon(
+      kFlags, 0, nullptr, nullptr, &running::OnRequest, this, MHD_OPTION_URI_LOG_CALLBACK,
+      &running::OnUri, this, MHD_OPTION_NOTIFY_COMPLETED, &running::OnCompleted, this,
+      MHD_OPTION_LISTEN_SOCKET, listener.Get(), MHD_OPTION_CONNECTION_LIMIT,
+      options_.max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT, pool,
+      MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(idle), MHD_OPTION_END);
+  if (!daemon_) return false;
   listener.Release();
-  started_ = true;
   return true;
 }
 
 void http_server::running::Stop() {
-  if (!started_) return;
-  started_ = false;
+  if (!daemon_) return;
   // Closing the listener after the quiesce makes new connections fail as refused.
-  socket_fd listener(MHD_quiesce_daemon(instance_.mhd_daemon));
+  socket_fd listener(MHD_quiesce_daemon(daemon_));
   listener.Close();
   {
     std::unique_lock lock(mutex_);
@@ -164,31 +171,55 @@
     idle_.wait(lock, [this] { return in_flight_ == 0; });
     closed_ = true;
   }
-  ulfius_stop_framework(&instance_);
-  ulfius_clean_instance(&instance_);
+  MHD_stop_daemon(std::exchange(daemon_, nullptr));
+}
+
+// The result becomes the state of the request.
+void* http_server::running::OnUri(void* /*self*/, const char* uri, MHD_Connection* /*connection*/) {
+  return new exchange_handle(std::make_shared<exchange>(uri));
 }
 
-int http_server::running::OnRequest(const _u_request* request, _u_response* response, void* self) {
+MHD_Result http_server::running::OnRequest(void* self, MHD_Connection* connection,
+                                           const char* /*url*/, const char* method,
+                                           const char* /*version*/, const char* data,
+                                           std::size_t* size, void** state) {
   auto* server = static_cast<running*>(self);
-  if (!server->Begin()) {
-    server->WriteResponse(ErrorResponse(errc::kDraining), *response);
-    return U_CALLBACK_COMPLETE;
+  const exchange_handle current = *static_cast<exchange_handle*>(*state);
+  if (!current->begun) {
+    // First call: the headers are there, the body is not.
+    if (!server->Begin()) return MHD_NO;
+    current->begun = true;
+    return MHD_YES;
+  }
+  if (*size > 0) {
+    // One more byte than allowed, so that a body that is too large can be told from one that fits.
+    const std::size_t left = server->options_.max_body_bytes + 1 - current->Body().size();
+    current->Body().append(data, std::min(*size, left));
+    *size = 0;
+    return MHD_YES;
+  }
+  if (!current->dispatched) {
+    current->dispatched = true;
+    server->Dispatch(connection, method, current);
+    if (current->SuspendUntilReply(connection)) {
+      server->WatchTimeout(current);
+      return MHD_YES;
+    }
   }
-  server->WriteResponse(server->Answer(*request), *response);
-  return U_CALLBACK_COMPLETE;
+  return server->SendReply(connection, current->TakeReply());
 }
 
-// Runs after the answer was sent, on the thread of the connection.
-void http_server::running::OnCompleted(void* self, MHD_Connection* connection, void** state,
-                                       MHD_RequestTerminationCode code) {
-  mhd_request_completed(nullptr, connection, state, code);
-  if (std::exchange(request_counted, false)) static_cast<running*>(self)->End();
+// Runs after the answer was sent or the connection broke.
+void http_server::running::OnCompleted(void* self, MHD_Connection* /*connection*/, void** state,
+                                       MHD_RequestTerminationCode /*code*/) {
+  const std::unique_ptr<exchange_handle> current(static_cast<exchange_handle*>(*state));
+  if (current && (*current)->begun) static_cast<running*>(self)->End();
 }
 
 bool http_server::running::Begin() {
   const std::lock_guard lock(mutex_);
   if (closed_) return false;
-  if (!std::exchange(request_counted, true)) ++in_flight_;
+  ++in_flight_;
   return true;
 }
 
@@ -197,45 +228,69 @@
   if (--in_flight_ == 0) idle_.notify_all();
 }
 
-http_response http_server::running::Answer(const _u_request& raw) {
-  const std::vector<http_header_view> headers = ViewsOf(raw.map_header);
+void http_server::running::Dispatch(MHD_Connection* connection, const char* method,
+                                    const exchange_handle& current) {
+  const std::vector<http_header_view> headers = ViewsOf(connection, MHD_HEADER_KIND);
   if (TotalBytes(headers) > options_.max_header_bytes) {
     http_response response = ErrorResponse(errc::kTooLarge, "headers");
     response.status = 431;
-    return response;
+    return current->Reply(std::move(response));
   }
-  if (raw.binary_body_length > options_.max_body_bytes) {
-    return ErrorResponse(errc::kTooLarge, "body");
+  if (current->Body().size() > options_.max_body_bytes) {
+    return current->Reply(ErrorResponse(errc::kTooLarge, "body"));
   }
-  const std::vector<http_header_view> values = ViewsOf(raw.map_url);
+  const std::vector<http_header_view> values = ViewsOf(connection, MHD_GET_ARGUMENT_KIND);
   http_request request;
-  request.method = raw.http_verb;
-  request.path = PathOf(raw.http_url);
-  request.query = QueryOf(raw.http_url);
+  request.method = method;
+  request.path = PathOf(current->Url());
+  request.query = QueryOf(current->Url());
   request.headers = headers;
   request.query_values = values;
-  request.body = {static_cast<const char*>(raw.binary_body), raw.binary_body_length};
-  return Dispatch(request);
+  request.body = current->Body();
+  handle_(request, [current](http_response response) { current->Reply(std::move(response)); });
 }
 
-http_response http_server::running::Dispatch(const http_request& request) {
-  const auto pending = std::make_shared<pending_reply>();
-  handle_(request, [pending](http_response response) { pending->Set(std::move(response)); });
-  return pending->Wait(options_.request_timeout);
-}
-
-void http_server::running::WriteResponse(const http_response& answer, _u_response& response) {
+MHD_Result http_server::running::SendReply(MHD_Connection* connection, http_response answer) {
+  MHD_Response* response = MHD_create_response_from_buffer(answer.body.size(), answer.body.data(),
+                                                           MHD_RESPMEM_MUST_COPY);
   for (const http_header& header : answer.headers) {
-    u_map_put(response.map_header, header.name.c_str(), header.value.c_str());
+    MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    if (draining_) MHD_add_response_header(response, "Connection", "close");
   }
-  bool closing = false;
+  const auto queued =
+      MHD_queue_response(connection, static_cast<unsigned>(answer.status), response);
+  MHD_destroy_response(response);
+  return queued;
+}
+
+void http_server::running::WatchTimeout(const exchange_handle& current) {
+  const std::lock_guard lock(mutex_);
+  waiting_.emplace_back(Now(clock_) + options_.request_timeout, current);
+  if (std::exchange(timer_set_, true)) return;
+  timers_.At(waiting_.front().first, [this] { ExpireRequests(); });
+}
+
+void http_server::running::ExpireRequests() {
+  std::vector<exchange_handle> expired;
   {
     const std::lock_guard lock(mutex_);
-    closing = draining_;
+    const time_point now = Now(clock_);
+    while (!waiting_.empty()) {
+      exchange_handle current = waiting_.front().second.lock();
+      const bool open = current && !current->Replied();
+      if (open && waiting_.front().first > now) break;
+      if (open) expired.push_back(std::move(current));
+      waiting_.pop_front();
+    }
+    timer_set_ = !waiting_.empty();
+    if (timer_set_) timers_.At(waiting_.front().first, [this] { ExpireRequests(); });
+  }
+  for (const exchange_handle& current : expired) {
+    current->Reply(ErrorResponse(errc::kTimeout, "the request took too long"));
   }
-  if (closing) u_map_put(response.map_header, "Connection", "close");
-  ulfius_set_binary_body_response(&response, static_cast<unsigned>(answer.status),
-                                  answer.body.data(), answer.body.size());
 }
 
 http_server::http_server(http_server_options options, handler handle)
--- a/packages/net/src/json_fields.cc
+++ b/packages/net/src/json_fields.cc
@@ -1,4 +1,4 @@
-#include "json_fields.h"
+#include "sycamorehinge/net/json_fields.h"
 
 #include <array>
 #include <limits>
@@ -121,6 +121,52 @@
   return value->get<bool>();
 }
 
+std::uint64_t json_fields::NumberOr(const char* name, std::uint64_t otherwise) {
+  const json* value = Find(name);
+  return value == nullptr || value->is_null() ? otherwise : Number(name);
+}
+
+std::int64_t json_fields::IntegerOr(const char* name, std::int64_t otherwise) {
+  const json* value = Find(name);
+  if (value == nullptr || value->is_null()) return otherwise;
+  if (value->is_number_integer()) return value->get<std::int64_t>();
+  ok_ = false;
+  return otherwise;
+}
+
+double json_fields::RealOr(const char* name, double otherwise) {
+  const json* value = Find(name);
+  if (value == nullptr || value->is_null()) return otherwise;
+  if (value->is_number()) return value->get<double>();
+  ok_ = false;
+  return otherwise;
+}
+
+duration json_fields::MillisecondsOr(const char* name, duration otherwise) {
+  const double ms = RealOr(name, -1);
+  if (ms < 0) return otherwise;
+  if (ms > static_cast<double>(kMaxMilliseconds)) {
+    ok_ = false;
+    return otherwise;
+  }
+  return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+const json& json_fields::ArrayOrEmpty(const char* name) {
+  static const json empty = json::array();
+  const json* value = Find(name);
+  return value == nullptr || value->is_null() ? empty : Array(name);
+}
+
+const json& json_fields::ObjectOrEmpty(const char* name) {
+  static const json empty = json::object();
+  const json* value = Find(name);
+  if (value == nullptr || value->is_null()) return empty;
+  if (value->is_object()) return *value;
+  ok_ = false;
+  return empty;
+}
+
 resources json_fields::RoomOr(const char* name, const resources& otherwise) {
   const json* value = Find(name);
   if (value == nullptr || value->is_null()) return otherwise;
--- a/packages/net/src/log_client.cc
+++ b/packages/net/src/log_client.cc
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include "json_fields.h"
-#include "url.h"
+#include "sycamorehinge/net/json_fields.h"
+#include "sycamorehinge/net/url.h"
 
 namespace sycamorehinge {
 
--- a/packages/net/src/url.cc
+++ b/packages/net/src/url.cc
@@ -1,4 +1,4 @@
-#include "url.h"
+#include "sycamorehinge/net/url.h"
 
 #include <algorithm>
 
--- a/packages/node/src/document_store.h
+++ b/packages/node/src/document_store.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "node_fwd.h"
-#include "shard.h"
+#include "sycamorehinge/core/shard.h"
 #include "sycamorehinge/core/config_order.h"
 
 namespace sycamorehinge {
--- a/packages/node/src/host_claims.h
+++ b/packages/node/src/host_claims.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "node_fwd.h"
-#include "shard.h"
+#include "sycamorehinge/core/shard.h"
 #include "sycamorehinge/core/partition.h"
 #include "sycamorehinge/core/pool.h"
 #include "sycamorehinge/node/ports.h"
--- a/packages/node/src/partition_runner.h
+++ b/packages/node/src/partition_runner.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "node_fwd.h"
-#include "shard.h"
+#include "sycamorehinge/core/shard.h"
 #include "sycamorehinge/core/partition.h"
 
 namespace sycamorehinge {
--- a/packages/node/src/pool_set.h
+++ b/packages/node/src/pool_set.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "node_fwd.h"
-#include "shard.h"
+#include "sycamorehinge/core/shard.h"
 #include "sycamorehinge/core/pool.h"
 #include "sycamorehinge/wire/messages.h"
 
--- a/packages/telemetry/include/sycamorehinge/telemetry/events.h
+++ b/packages/telemetry/include/sycamorehinge/telemetry/events.h
@@ -83,6 +83,37 @@
   kRequestTooLarge,
   kUnauthorized,
   kForbidden,
+  // The cell and its owner.
+  kCellAcquired = 8001,
+  kCellLost,
+  kOwnerLearned,
+  kRecoveryFinished,
+  kStoreUnavailable,
+  kStoreAvailable,
+  kConfigInForce,
+  kConfigUnreadable,
+  kHostEntryUnreadable,
+  kJournalUnreadable,
+  kSettingsReloaded,
+  kMemberListed,
+  // Decisions about jobs and tasks of the cell.
+  kCellJobAccepted = 8101,
+  kCellJobRefused,
+  kCellJobCancelled,
+  kCellJobEnded,
+  kCellTaskStarted,
+  kCellTaskEnded,
+  kCellTaskLost,
+  kCellTaskStopped,
+  kCellStartFailed,
+  // Beliefs about hosts of the cell.
+  kCellHostFound = 8201,
+  kCellHostGone,
+  kCellHostUnreachable,
+  kCellHostRestarted,
+  kCellHostAvoided,
+  // Calls.
+  kCallUnanswered = 8301,
 };
 
 enum class severity { kInfo, kWarning, kError };
--- a/packages/wire/src/archive.h
+++ b/packages/wire/include/sycamorehinge/wire/archive.h
@@ -1,7 +1,7 @@
 // cereal archives for messages and records: compact numbers on the way out, and on the way in no
 // length that exceeds what the input can hold.
-#ifndef SYCAMOREHINGE_WIRE_SRC_ARCHIVE_H_
-#define SYCAMOREHINGE_WIRE_SRC_ARCHIVE_H_
+#ifndef SYCAMOREHINGE_WIRE_ARCHIVE_H_
+#define SYCAMOREHINGE_WIRE_ARCHIVE_H_
 
 #include <cereal/cereal.hpp>
 #include <cstddef>
@@ -228,4 +228,4 @@
 
 CEREAL_SETUP_ARCHIVE_TRAITS(sycamorehinge::input_archive, sycamorehinge::output_archive)
 
-#endif  // SYCAMOREHINGE_WIRE_SRC_ARCHIVE_H_
+#endif  // SYCAMOREHINGE_WIRE_ARCHIVE_H_
--- a/packages/wire/src/core_fields.h
+++ b/packages/wire/src/core_fields.h
@@ -2,7 +2,7 @@
 #ifndef SYCAMOREHINGE_WIRE_SRC_CORE_FIELDS_H_
 #define SYCAMOREHINGE_WIRE_SRC_CORE_FIELDS_H_
 
-#include "archive.h"
+#include "sycamorehinge/wire/archive.h"
 
 namespace sycamorehinge {
 
