Prefer an owner near the store; take the epoch from the claim in the directory

Cause: the group shares out partitions without regard to distance.

Change: the group only lists who is alive. Names of members begin with their distance and start, and the smallest name owns the cell. A claim is an append to the directory; its offset is the epoch, so two claims can never share one.

Ruled out: the generation of the group as epoch: partitions move within one generation, so two members could hold the same number.

--- a/packages/control/include/sycamorehinge/control/calls.h
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -69,22 +69,27 @@
   return answer;
 }
 
-// A process that takes calls, as it lists itself.
+// A control process as a member of the store's group.
 struct member_info {
+  // 0 for processes near the store, 1 for others: an owner far from it is late with everything.
+  std::uint32_t rank = 0;
+  std::int64_t started_ms = 0;
   std::string name;
   std::string address;
   region_id region;
   data_centre_id data_centre;
 };
 
+// Name of a member; of two names the smaller one is preferred as the owner of the cell: a process
+// near the store, and of those the one that started first, so that a new one displaces none.
+std::string MemberName(const member_info& member);
+// kMalformed for a name of another origin.
+result<member_info> ParseMemberName(std::string_view name);
+
 std::string EncodeCall(const peer_call& call);
 result<peer_call> DecodeCall(std::string_view bytes);
 std::string EncodeAnswer(const peer_answer& answer);
 result<peer_answer> DecodeAnswer(std::string_view bytes);
-std::string EncodeOwner(const owner_info& owner);
-result<owner_info> DecodeOwner(std::string_view bytes);
-std::string EncodeMember(const member_info& member);
-result<member_info> DecodeMember(std::string_view bytes);
 
 }  // namespace sycamorehinge::control
 
--- a/packages/control/include/sycamorehinge/control/control_node.h
+++ b/packages/control/include/sycamorehinge/control/control_node.h
@@ -11,6 +11,7 @@
 
 #include "sycamorehinge/cell/scheduler.h"
 #include "sycamorehinge/control/calls.h"
+#include "sycamorehinge/control/membership_options.h"
 #include "sycamorehinge/control/ports.h"
 #include "sycamorehinge/telemetry/events.h"
 #include "sycamorehinge/telemetry/metrics.h"
@@ -18,12 +19,9 @@
 namespace sycamorehinge::control {
 
 struct control_options {
+  // `started_ms` makes the name in the group another one for each start of the process.
   member_info self;
-  // Name in the group; another one for each start of the process.
-  std::string member;
-  // The group gives the cell to another member after this silence.
-  duration membership_ttl = std::chrono::milliseconds(1200);
-  duration join_interval = std::chrono::milliseconds(350);
+  membership_options membership;
   // Interval of reading the list of hosts.
   duration host_list_interval = std::chrono::milliseconds(500);
   // Time that the store may hold back an answer about the configuration or the directory.
--- a/packages/control/include/sycamorehinge/control/ports.h
+++ b/packages/control/include/sycamorehinge/control/ports.h
@@ -34,6 +34,10 @@
   kJournal,
 };
 
+// Key of the directory that holds the address of the newest owner; the offset of the record is the
+// owner's epoch.
+inline constexpr std::string_view kOwnerKey = "owner";
+
 // The newest record of each key, from the first key after `after`.
 struct from_newest {
   std::string after;
@@ -49,6 +53,8 @@
   std::string key;
   // nullopt: the key was removed.
   std::optional<std::string> value;
+  // Place in the stream; set by reads.
+  std::uint64_t offset = 0;
 };
 struct stream_page {
   std::vector<stream_record> records;
@@ -65,12 +71,6 @@
   std::uint64_t sequence = 0;
 };
 
-struct membership {
-  std::uint64_t generation = 0;
-  // True if this member owns the cell.
-  bool owns_cell = false;
-};
-
 struct ports {
   std::function<time_point()> now;
   std::function<std::int64_t()> wall_ms;
@@ -81,15 +81,19 @@
   std::function<void(stream_name, read_position, completion<stream_page>)> read;
   // Appends all records or none; no records only set the epoch. Errors: kLogUnavailable and
   // kOverloaded (nothing was done), kTimeout (unknown), kStaleTerm (a higher epoch has written),
-  // kVersionConflict (the sequence does not follow; the detail holds the expected one).
+  // kVersionConflict (the sequence does not follow; the detail holds the expected one). Gives the
+  // offset of the first record.
   std::function<void(stream_name, std::optional<append_guard>, std::vector<stream_record>,
                      completion<std::uint64_t>)>
       append;
-  // Joins the group that shares out the cell, or stays in it.
+  // Joins the group of control processes, or stays in it for another `ttl`. Gives the generation
+  // of the group, which rises with each change.
   std::function<void(std::string_view member, std::uint64_t generation, duration ttl,
-                     completion<membership>)>
+                     completion<std::uint64_t>)>
       join;
   std::function<void(std::string_view member, std::function<void()>)> leave;
+  // Names of the members that the store takes for alive, in any order.
+  std::function<void(completion<std::vector<std::string>>)> members;
 
   // nullopt if the value names no usable host or configuration.
   std::function<std::optional<cell::fleet_config>(std::string_view value)> parse_config;
--- a/packages/control/src/advice_router.cc
+++ b/packages/control/src/advice_router.cc
@@ -20,9 +20,13 @@
   if (restarted) row.left_out_until = {};
 }
 
-void advice_router::RemoveMember(std::string_view name) {
-  if (name == self_.name) return;
-  if (const auto found = entries_.find(name); found != entries_.end()) entries_.erase(found);
+void advice_router::SetMembers(std::span<const member_info> members) {
+  std::erase_if(entries_, [&](const auto& row) {
+    return row.first != self_.name &&
+           std::none_of(members.begin(), members.end(),
+                        [&](const member_info& member) { return member.name == row.first; });
+  });
+  for (const member_info& member : members) SetMember(member);
 }
 
 const member_info& advice_router::Choose(duration cost, time_point now) {
--- a/packages/control/src/advice_router.h
+++ b/packages/control/src/advice_router.h
@@ -22,8 +22,8 @@
 
   explicit advice_router(member_info self);
 
-  void SetMember(const member_info& member);
-  void RemoveMember(std::string_view name);
+  // The processes that are alive.
+  void SetMembers(std::span<const member_info> members);
 
   // The machine that should have the answer first; `cost` is added to its load.
   const member_info& Choose(duration cost, time_point now);
@@ -40,6 +40,7 @@
     duration pause{};
   };
 
+  void SetMember(const member_info& member);
   duration Trip(const member_info& member) const;
 
   const member_info self_;
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -95,18 +95,40 @@
              *item.what);
 }
 
-void cell_owner::OnMembership(const membership& now_member, time_point sent) {
+void cell_owner::OnMembers(const std::vector<member_info>& members, bool preferred,
+                           time_point asked) {
   Change([&](state& s, effects& out) {
     if (s.retired) return;
-    if (s.scheduler && s.now == phase::kActive && now_member.owns_cell && sent >= s.resumed) {
-      s.scheduler->SetMayStart(true);
-    }
-    if (!now_member.owns_cell) {
-      if (s.now != phase::kIdle) StepDown(s, s.epoch, "assigned to another process", out);
+    s.advice.SetMembers(members);
+    if (!preferred) {
+      if (s.now != phase::kIdle) StepDown(s, s.epoch, "another process is preferred", out);
       return;
     }
-    if (s.now != phase::kIdle || now_member.generation < s.least_generation) return;
-    Begin(s, now_member.generation, out);
+    if (s.now == phase::kActive && asked >= s.resumed) s.scheduler->SetMayStart(true);
+    if (s.now == phase::kIdle && asked > s.stepped_down) Claim(s, out);
+  });
+}
+
+// The offset of the claim in the directory is the epoch: no two claims share it, and later ones
+// are higher.
+void cell_owner::Claim(state& s, effects& out) {
+  s.now = phase::kClaiming;
+  const std::uint64_t claim = ++s.claim;
+  out.push_back({s.epoch, std::nullopt, [this, claim] {
+                   port_.append(stream_name::kDirectory, std::nullopt,
+                                {{std::string(kOwnerKey), options_.self.address}},
+                                [this, claim](const result<std::uint64_t>& offset) {
+                                  OnClaimed(claim, offset);
+                                });
+                 }});
+}
+
+void cell_owner::OnClaimed(std::uint64_t claim, const result<std::uint64_t>& offset) {
+  Change([&](state& s, effects& out) {
+    if (s.now != phase::kClaiming || s.claim != claim) return;
+    s.now = phase::kIdle;
+    // Another try follows with the next news from the group.
+    if (offset) Begin(s, *offset + 1, out);
   });
 }
 
@@ -142,7 +164,7 @@
     // Another try follows with the next membership.
     s.now = phase::kIdle;
     s.journal.reset();
-    if (code == errc::kStaleTerm) s.least_generation = epoch + 1;
+    s.stepped_down = port_.now();
   });
 }
 
@@ -256,7 +278,7 @@
   if (s.epoch != epoch || s.now == phase::kIdle) return;
   log_.Write(event_number::kCellLost, {{"epoch", epoch}, {"cause", cause}});
   s.now = phase::kIdle;
-  s.least_generation = epoch + 1;
+  s.stepped_down = port_.now();
   if (s.journal) s.journal->Stop();
   if (s.hosts) s.hosts->Stop();
   s.journal.reset();
@@ -285,14 +307,6 @@
   });
 }
 
-void cell_owner::SetMember(const member_info& member) {
-  Change([&](state& s, effects&) { s.advice.SetMember(member); });
-}
-
-void cell_owner::RemoveMember(std::string_view name) {
-  Change([&](state& s, effects&) { s.advice.RemoveMember(name); });
-}
-
 void cell_owner::Call(const peer_call& call, peer_reply reply) {
   Change([&](state& s, effects& out) {
     if (s.now != phase::kActive) {
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -30,25 +30,25 @@
 
   cell_owner(const ports& port, const control_options& options, decision_log& log, hooks hooks);
 
-  // What the group says; `sent` is when it was asked.
-  void OnMembership(const membership& now_member, time_point sent);
+  // What the group says; `preferred` if this process should own the cell.
+  void OnMembers(const std::vector<member_info>& members, bool preferred, time_point asked);
   // Gives up the cell for good.
   void Retire();
   void SetConfig(std::shared_ptr<const cell::fleet_config> config);
-  void SetMember(const member_info& member);
-  void RemoveMember(std::string_view name);
   // Answers kNotOwner unless this process owns the cell.
   void Call(const peer_call& call, peer_reply reply);
   cell::scheduler_summary Summary() const;
   bool Owns() const;
 
  private:
-  enum class phase { kIdle, kFencing, kLoading, kActive };
+  enum class phase { kIdle, kClaiming, kFencing, kLoading, kActive };
   struct state {
     phase now = phase::kIdle;
     std::uint64_t epoch = 0;
-    // Memberships of older generations do not bring the cell back.
-    std::uint64_t least_generation = 0;
+    // Counts the claims, since one without an answer has no epoch yet.
+    std::uint64_t claim = 0;
+    // Older news from the group do not bring the cell back.
+    time_point stepped_down;
     bool retired = false;
     time_point last_tick;
     // End of the last standstill of the process.
@@ -79,6 +79,8 @@
   void Collect(state& s, effects& out);
   void Carry(const effect& item);
 
+  void Claim(state& s, effects& out);
+  void OnClaimed(std::uint64_t claim, const result<std::uint64_t>& offset);
   void Begin(state& s, std::uint64_t epoch, effects& out);
   void OnFenced(std::uint64_t epoch, errc code);
   void LoadJournal(std::uint64_t epoch, std::string after);
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -92,10 +92,6 @@
   Fields(archive, value.code, value.phase, value.pending, value.retry_after, value.approved,
          value.owner);
 }
-template <class Archive>
-void serialize(Archive& archive, member_info& value) {
-  Fields(archive, value.name, value.address, value.region, value.data_centre);
-}
 
 namespace {
 
@@ -166,10 +162,6 @@
 result<peer_call> DecodeCall(std::string_view bytes) { return Decode<peer_call>(bytes); }
 std::string EncodeAnswer(const peer_answer& answer) { return Encode(answer); }
 result<peer_answer> DecodeAnswer(std::string_view bytes) { return Decode<peer_answer>(bytes); }
-std::string EncodeOwner(const owner_info& owner) { return Encode(owner); }
-result<owner_info> DecodeOwner(std::string_view bytes) { return Decode<owner_info>(bytes); }
-std::string EncodeMember(const member_info& member) { return Encode(member); }
-result<member_info> DecodeMember(std::string_view bytes) { return Decode<member_info>(bytes); }
 
 void AppendEncoded(const cell::journal_record& record, std::vector<stream_record>& out) {
   std::visit(
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -6,17 +6,15 @@
 
 #include "cell_owner.h"
 #include "front.h"
+#include "membership.h"
 #include "stream_follower.h"
 
 namespace sycamorehinge::control {
 
 namespace {
 
-constexpr std::string_view kOwnerKey = "owner";
-constexpr std::string_view kMemberPrefix = "member/";
 // Key of the configuration in force.
 constexpr std::string_view kConfigKey = "config";
-constexpr duration kPublishRetry = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -26,11 +24,18 @@
         port(std::move(given_ports)),
         log(given_observer),
         owner(port, options, log,
-              {[this](const owner_info& info) { Announce(info); }, [this] { OnLost(); }}),
+              {[this](const owner_info& info) { entrance.LearnOwner(info); },
+               [this] { entrance.ForgetOwner(options.self.address); }}),
         entrance(port, FrontOptions(),
                  [this](const peer_call& call, peer_reply reply) {
                    owner.Call(call, std::move(reply));
-                 }) {}
+                 }),
+        group(std::make_shared<membership>(
+            port, options.membership, options.self,
+            membership_handlers{[this](const std::vector<member_info>& members, bool preferred,
+                                       time_point asked) {
+              OnMembers(members, preferred, asked);
+            }})) {}
 
   front_options FrontOptions() const {
     front_options chosen;
@@ -38,71 +43,19 @@
     return chosen;
   }
 
-  // --- membership ---
-  void Join() {
-    if (leaving) return;
-    const time_point sent = port.now();
-    port.join(options.member, generation, options.membership_ttl,
-              [this, sent](const result<membership>& joined) { OnJoined(joined, sent); });
-    port.at(sent + options.join_interval, [this] { Join(); });
-  }
-  void OnJoined(const result<membership>& joined, time_point sent) {
-    if (!joined || leaving) return;
-    {
-      const std::lock_guard lock(mutex);
-      // Answers may overtake each other.
-      if (sent < joined_at || joined->generation < generation) return;
-      joined_at = sent;
-      generation = joined->generation;
+  void OnMembers(const std::vector<member_info>& members, bool preferred, time_point asked) {
+    std::vector<std::string> others;
+    for (const member_info& member : members) {
+      if (member.name != options.self.name) others.push_back(member.address);
     }
-    owner.OnMembership(*joined, sent);
-  }
-
-  // --- directory ---
-  void Publish(std::string key, std::string value, std::function<bool()> wanted) {
-    std::vector<stream_record> records{{key, value}};
-    port.append(stream_name::kDirectory, std::nullopt, std::move(records),
-                [this, key, value, wanted](const result<std::uint64_t>& outcome) {
-                  if (outcome || !wanted()) return;
-                  port.at(port.now() + kPublishRetry, [this, key, value, wanted] {
-                    if (wanted()) Publish(key, value, wanted);
-                  });
-                });
+    entrance.SetPeers(std::move(others));
+    owner.OnMembers(members, preferred, asked);
   }
-  void Announce(const owner_info& info) {
-    entrance.LearnOwner(info);
-    Publish(std::string(kOwnerKey), EncodeOwner(info),
-            [this, info] { return entrance.Owner().epoch == info.epoch; });
-  }
-  void OnLost() { entrance.ForgetOwner(options.self.address); }
   void OnDirectory(const stream_record& record) {
-    if (record.key == kOwnerKey && record.value) {
-      if (const auto info = DecodeOwner(*record.value)) {
-        log.Write(event_number::kOwnerLearned,
-                  {{"address", info->address}, {"epoch", info->epoch}});
-        entrance.LearnOwner(*info);
-      }
-      return;
-    }
-    if (!record.key.starts_with(kMemberPrefix)) return;
-    const std::string name = record.key.substr(kMemberPrefix.size());
-    std::vector<std::string> addresses;
-    {
-      const std::lock_guard lock(mutex);
-      members.erase(name);
-      const auto info = record.value ? DecodeMember(*record.value)
-                                     : result<member_info>(errc::kUnknownKey);
-      if (info) {
-        members[name] = *info;
-        owner.SetMember(*info);
-      } else {
-        owner.RemoveMember(name);
-      }
-      for (const auto& [other, member] : members) {
-        if (other != options.self.name) addresses.push_back(member.address);
-      }
-    }
-    entrance.SetPeers(std::move(addresses));
+    if (record.key != kOwnerKey || !record.value) return;
+    log.Write(event_number::kOwnerLearned,
+              {{"address", std::string_view(*record.value)}, {"epoch", record.offset + 1}});
+    entrance.LearnOwner({record.offset + 1, *record.value});
   }
   std::shared_ptr<stream_follower> Follow(stream_name stream, std::string_view label,
                                           std::function<void(const stream_record&)> handle) {
@@ -141,13 +94,11 @@
   const ports port;
   decision_log log;
   mutable std::mutex mutex;
-  std::uint64_t generation = 0;
-  time_point joined_at;
-  std::map<std::string, member_info> members;
   std::shared_ptr<const cell::fleet_config> config;
   std::atomic<bool> leaving = false;
   cell_owner owner;
   front entrance;
+  std::shared_ptr<membership> group;
   std::vector<std::shared_ptr<stream_follower>> followers;
 };
 
@@ -164,10 +115,8 @@
                                  [&p](const stream_record& record) { p.OnConfig(record); }));
   p.followers.push_back(p.Follow(stream_name::kDirectory, "directory",
                                  [&p](const stream_record& record) { p.OnDirectory(record); }));
-  p.Publish(std::string(kMemberPrefix) + p.options.self.name, EncodeMember(p.options.self),
-            [&p] { return !p.leaving.load(); });
   p.log.Write(event_number::kMemberListed, {{"address", p.options.self.address}});
-  p.Join();
+  p.group->Start();
 }
 
 void control_node::Call(peer_call call, time_point deadline, call_reply reply) {
@@ -204,10 +153,7 @@
   parts& p = *parts_;
   if (p.leaving.exchange(true)) return;
   p.owner.Retire();
-  p.port.leave(p.options.member, [] {});
-  p.port.append(stream_name::kDirectory, std::nullopt,
-                {{std::string(kMemberPrefix) + p.options.self.name, std::nullopt}},
-                [](const result<std::uint64_t>&) {});
+  p.group->Leave();
 }
 
 control_summary control_node::Summary() const {
--- /dev/null
+++ b/packages/control/src/membership.h
@@ -0,0 +1,58 @@
+// Membership in the store's group, and who of its members should own the cell.
+#ifndef SYCAMOREHINGE_CONTROL_SRC_MEMBERSHIP_H_
+#define SYCAMOREHINGE_CONTROL_SRC_MEMBERSHIP_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "sycamorehinge/control/membership_options.h"
+#include "sycamorehinge/control/ports.h"
+
+namespace sycamorehinge::control {
+
+struct membership_handlers {
+  // Members of the group; `preferred` is true if this process should own the cell. `asked` is the
+  // time at which the store was asked.
+  std::function<void(const std::vector<member_info>&, bool preferred, time_point asked)> on_members;
+};
+
+class membership : public std::enable_shared_from_this<membership> {
+ public:
+  membership(const ports& port, membership_options options, member_info self,
+             membership_handlers handlers);
+
+  void Start();
+  // Leaves the group; no handler runs afterwards.
+  void Leave();
+
+ private:
+  void Probe();
+  void Join();
+  void OnJoined(const result<std::uint64_t>& generation, time_point asked);
+  void AskMembers();
+  void OnMembers(const result<std::vector<std::string>>& names, time_point asked);
+  void JudgeDistance(duration trip);
+
+  const ports& port_;
+  const membership_options options_;
+  const membership_handlers handlers_;
+
+  std::mutex mutex_;
+  member_info self_;
+  bool left_ = false;
+  std::uint64_t generation_ = 0;
+  time_point joined_at_;
+  time_point members_asked_;
+  // Reads of the members that are due because the group changes.
+  std::uint32_t reads_due_ = 0;
+  duration least_trip_ = duration::max();
+  std::uint32_t trips_ = 0;
+};
+
+}  // namespace sycamorehinge::control
+
+#endif  // SYCAMOREHINGE_CONTROL_SRC_MEMBERSHIP_H_
--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -20,8 +20,6 @@
 constexpr unsigned kInnerConnections = 400;
 // Leases leave this much of the longest one that hosts grant.
 constexpr duration kLeaseReserve = std::chrono::milliseconds(500);
-// Names of processes are told apart by the time of their start.
-constexpr std::int64_t kMemberModulus = 1'000'000'000;
 
 event_log_options EventOptions(const runtime_clock& clock) {
   event_log_options options;
@@ -67,9 +65,8 @@
   options.self.address = settings.ip + ":" + std::to_string(settings.peer_port);
   options.self.region = settings.region;
   options.self.data_centre = settings.data_centre;
-  options.member =
-      settings.node + "-" + std::to_string(WallMilliseconds(clock_) % kMemberModulus);
-  options.membership_ttl = std::max(options.membership_ttl, settings.least_ttl);
+  options.self.started_ms = WallMilliseconds(clock_);
+  options.membership.ttl = std::max(options.membership.ttl, settings.least_ttl);
   cell::scheduler_options& scheduler = options.scheduler;
   scheduler.lease = std::min(scheduler.lease, settings.longest_lease - kLeaseReserve);
   scheduler.stop_timeout = settings.stop_timeout;
@@ -95,12 +92,13 @@
     store_.Append(stream, guard, records, std::move(done));
   };
   port.join = [this](std::string_view member, std::uint64_t generation, duration ttl,
-                     control::completion<control::membership> done) {
+                     control::completion<std::uint64_t> done) {
     store_.Join(member, generation, ttl, std::move(done));
   };
   port.leave = [this](std::string_view member, std::function<void()> done) {
     store_.Leave(member, std::move(done));
   };
+  port.members = [this](auto done) { store_.Members(std::move(done)); };
   port.parse_config = &platform::ParseConfig;
   port.parse_host = &platform::ParseHostEntry;
   port.look = [this](const cell::look_host& look, auto done) {
