Ask the policy service only for room that is free, and no more than it can answer in time

Change: the sum of cores in open questions stays below the free cores, and their time below 0.7 s for each machine that asks; long calls go to machines elsewhere. A gang learns verdicts beyond the free room only after it has waited. A member that the group dropped comes back as the youngest.

--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -41,6 +41,10 @@
   duration ticket_margin = std::chrono::milliseconds(200);
   // Most hosts in one question to the policy service.
   std::size_t advice_hosts = 100;
+  // Most time of open questions to the policy service, for each machine that asks it.
+  duration advice_backlog = std::chrono::milliseconds(700);
+  // Waiting time of a gang after which it asks about hosts without room too.
+  duration learn_after = std::chrono::milliseconds(400);
   // A host is avoided this long after failures that its tasks do not explain.
   duration avoid_time = std::chrono::seconds(5);
   // A run without progress for this long is stopped and its host avoided.
@@ -54,10 +58,14 @@
 struct scheduler_summary {
   std::size_t jobs = 0;
   std::size_t open_jobs = 0;
-  std::size_t waiting_tasks = 0;
+  std::size_t waiting_steps = 0;
+  // Questions to the policy service without an answer.
+  std::size_t questions = 0;
   std::size_t runs = 0;
   std::size_t hosts = 0;
   std::size_t unreachable_hosts = 0;
+  // Hosts kept free for a gang.
+  std::size_t kept_hosts = 0;
   resources capacity;
   resources taken;
   bool recovering = false;
@@ -83,6 +91,9 @@
   // While false, nothing is started: this process may have been replaced.
   void SetMayStart(bool may_start);
 
+  // Number of machines that can ask the policy service.
+  void SetAdviceMachines(std::size_t machines);
+
   // --- what the platform says ---
   void SetConfig(std::shared_ptr<const fleet_config> config);
   void SetHost(const host_entry& entry, time_point now);
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -223,7 +223,7 @@
       Unreserve(step, job.spec.steps[i]);
       ReleaseKept(step);
       if (step.waiting) Dequeue(KeyOf({number, index, i, 0}, job), step);
-      questions.erase(step.question);
+      TakeQuestion(step.question);
       for (task_state& task : step.tasks) {
         if (task.open != kNoRun) SendStop(std::exchange(task.open, kNoRun), "the job has ended");
       }
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -9,13 +9,6 @@
 
 namespace {
 
-// Room that a task takes: what fills uses only processor time that others leave.
-resources RoomOf(const step_spec& spec) {
-  resources room = spec.size;
-  if (spec.fills) room.cores_milli = 0;
-  return room;
-}
-
 std::int64_t TimesInto(std::int64_t free, std::int64_t size) {
   if (size <= 0) return std::numeric_limits<std::int32_t>::max();
   return free < size ? 0 : free / size;
@@ -28,11 +21,6 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(copies, 0));
 }
 
-bool HasLabel(const host_state& host, const std::string& label) {
-  const auto& labels = host.entry.labels;
-  return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
 bool FailedOn(const task_state& task, host_slot slot) {
   return std::find(task.failed_on.begin(), task.failed_on.end(), slot) != task.failed_on.end();
 }
@@ -43,6 +31,17 @@
 
 }  // namespace
 
+resources RoomOf(const step_spec& spec) {
+  resources room = spec.size;
+  if (spec.fills) room.cores_milli = 0;
+  return room;
+}
+
+bool HasLabel(const host_state& host, const std::string& label) {
+  const auto& labels = host.entry.labels;
+  return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 // Considers waiting steps in the order of priority and age.
 void scheduler::state::Pass() {
   if (!pass_needed || !owner || !may_start) return;
@@ -250,6 +249,13 @@
   }
 }
 
+// Keeps the room of the hosts for the gang until it is placed or gives it back.
+void scheduler::state::Reserve(step_state& step, const step_spec& spec,
+                               const std::vector<std::pair<host_slot, std::uint32_t>>& chosen) {
+  for (const auto& [slot, count] : chosen) hosts[slot].taken += Times(RoomOf(spec), count);
+  step.reserved = chosen;
+}
+
 void scheduler::state::Unreserve(step_state& step, const step_spec& spec) {
   for (const auto& [slot, count] : std::exchange(step.reserved, {})) {
     hosts[slot].taken -= Times(RoomOf(spec), count);
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -1,5 +1,7 @@
 #include "sycamorehinge/cell/scheduler.h"
 
+#include <algorithm>
+
 #include "state.h"
 
 namespace sycamorehinge::cell {
@@ -51,6 +53,10 @@
   state_->may_start = may_start;
 }
 
+void scheduler::SetAdviceMachines(std::size_t machines) {
+  state_->advice_machines = std::max<std::size_t>(machines, 1);
+}
+
 void scheduler::SetConfig(std::shared_ptr<const fleet_config> config) {
   if (config->version < state_->config->version) return;
   state_->config = std::move(config);
@@ -157,13 +163,15 @@
   scheduler_summary summary;
   summary.jobs = s.jobs.size();
   summary.open_jobs = s.jobs.size() - s.ended_jobs.size();
-  summary.waiting_tasks = s.waiting.size();
+  summary.waiting_steps = s.waiting.size();
+  summary.questions = s.questions.size();
   summary.runs = s.runs.size();
   summary.recovering = s.recovering;
   for (const host_state& host : s.hosts) {
     if (!host.listed) continue;
     ++summary.hosts;
     if (host.look_failures > 0) ++summary.unreachable_hosts;
+    if (host.kept_for) ++summary.kept_hosts;
     summary.capacity += host.entry.capacity;
     summary.taken += host.taken;
   }
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -166,6 +167,9 @@
 struct question_state {
   task_ref step;
   std::vector<host_slot> hosts;
+  // Cores of the tasks that it is for, and time that the service needs.
+  std::int64_t cores = 0;
+  duration cost{};
 };
 
 // Share of hosts that the policy service approved lately, for one queue.
@@ -173,6 +177,10 @@
   double value = 0.5;
 };
 
+// Room that a task takes: what fills uses only processor time that others leave.
+resources RoomOf(const step_spec& spec);
+bool HasLabel(const host_state& host, const std::string& label);
+
 struct scheduler::state {
   explicit state(scheduler_options given) : options(given) {}
 
@@ -266,6 +274,8 @@
                                                                    bool need_ticket) const;
   void StartTask(const task_ref& ref, job_entry& job, step_state& step, host_slot slot,
                  std::uint32_t number);
+  void Reserve(step_state& step, const step_spec& spec,
+               const std::vector<std::pair<host_slot, std::uint32_t>>& chosen);
   void Unreserve(step_state& step, const step_spec& spec);
   void KeepHostsFor(const task_ref& ref, const job_entry& job, step_state& step,
                     std::uint32_t priority);
@@ -274,8 +284,12 @@
   // --- advice (advice.cc) ---
   void AskForTasks(const task_ref& ref, job_entry& job, step_state& step, std::uint32_t tasks);
   void AskForGang(const task_ref& ref, job_entry& job, step_state& step);
-  void Ask(const task_ref& ref, const job_entry& job, step_state& step,
-           std::vector<host_slot> hosts);
+  void AskUnknown(const task_ref& ref, job_entry& job, step_state& step);
+  bool Ask(const task_ref& ref, const job_entry& job, step_state& step,
+           std::vector<host_slot> slots, std::uint32_t tasks);
+  bool MayAsk(std::int64_t cores, duration cost, std::uint32_t priority) const;
+  std::int64_t FreeCores() const;
+  std::optional<question_state> TakeQuestion(std::uint64_t question);
   void OnAdvice(std::uint64_t question, bool answered,
                 std::span<const std::pair<host_id, std::string>> approved);
 
@@ -322,6 +336,10 @@
 
   std::unordered_map<std::uint64_t, question_state> questions;
   std::uint64_t next_question = 1;
+  std::size_t advice_machines = 1;
+  // Sums over the open questions.
+  std::int64_t asked_cores = 0;
+  duration asked_cost{};
   std::unordered_map<std::string, approval_rate> approval;
 
   std::uint64_t sequence = 0;
--- a/packages/control/src/advice_router.cc
+++ b/packages/control/src/advice_router.cc
@@ -34,7 +34,9 @@
   time_point best_time;
   for (auto& [name, row] : entries_) {
     if (now < row.left_out_until) continue;
-    const time_point ready = std::max(row.busy_until, now) + row.trip;
+    const bool here = row.member.region == self_.region;
+    const duration detour = cost >= kLongCall && here ? kLongCallHere : duration();
+    const time_point ready = std::max(row.busy_until, now) + row.trip + detour;
     if (best && ready >= best_time) continue;
     best = &row;
     best_time = ready;
--- a/packages/control/src/advice_router.h
+++ b/packages/control/src/advice_router.h
@@ -16,6 +16,10 @@
   // Round trips to machines elsewhere, counted as if they were load.
   static constexpr duration kZoneTrip = std::chrono::milliseconds(4);
   static constexpr duration kRegionTrip = std::chrono::milliseconds(60);
+  // Longer calls go to machines elsewhere where they can: they would hold up short ones, and a long
+  // round trip matters less to them.
+  static constexpr duration kLongCall = std::chrono::milliseconds(150);
+  static constexpr duration kLongCallHere = std::chrono::milliseconds(500);
   // A machine that gave no answer is left out for this long, doubled each time up to the longest.
   static constexpr duration kPause = std::chrono::seconds(1);
   static constexpr duration kLongestPause = std::chrono::seconds(30);
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr duration kLoadRetry = std::chrono::milliseconds(100);
+constexpr duration kStatusInterval = std::chrono::seconds(2);
 constexpr std::string_view kProducer = "cell";
 
 }  // namespace
@@ -100,6 +101,8 @@
   Change([&](state& s, effects& out) {
     if (s.retired) return;
     s.advice.SetMembers(members);
+    s.members = members.size();
+    if (s.scheduler) s.scheduler->SetAdviceMachines(s.members);
     if (!preferred) {
       if (s.now != phase::kIdle) StepDown(s, s.epoch, "another process is preferred", out);
       return;
@@ -232,6 +235,7 @@
     s.now = phase::kActive;
     s.last_tick = port_.now();
     if (s.config) s.scheduler->SetConfig(s.config);
+    s.scheduler->SetAdviceMachines(s.members);
     s.scheduler->BeginTerm(s.scheduler->LoadedTerm() + 1, epoch, s.last_tick, port_.wall_ms());
     log_.Write(event_number::kCellAcquired,
                {{"epoch", epoch}, {"term", s.scheduler->LoadedTerm() + 1}});
@@ -357,10 +361,27 @@
     if (s.now != phase::kActive || s.epoch != epoch) return;
     s.last_tick = now;
     s.scheduler->Tick(now, port_.wall_ms());
+    if (now - s.status_logged >= kStatusInterval) LogStatus(s);
   });
   ScheduleTick(epoch);
 }
 
+void cell_owner::LogStatus(state& s) {
+  s.status_logged = port_.now();
+  const cell::scheduler_summary now = s.scheduler->Summary();
+  log_.Write(event_number::kCellStatus,
+             {{"epoch", s.epoch},
+              {"open_jobs", std::uint64_t{now.open_jobs}},
+              {"waiting_steps", std::uint64_t{now.waiting_steps}},
+              {"questions", std::uint64_t{now.questions}},
+              {"runs", std::uint64_t{now.runs}},
+              {"hosts", std::uint64_t{now.hosts}},
+              {"unreachable", std::uint64_t{now.unreachable_hosts}},
+              {"kept", std::uint64_t{now.kept_hosts}},
+              {"cores_milli", now.capacity.cores_milli},
+              {"taken_milli", now.taken.cores_milli}});
+}
+
 void cell_owner::Look(std::uint64_t epoch, const cell::look_host& look) {
   const time_point sent = port_.now();
   port_.look(look, [this, epoch, host = look.host, sent](cell::call_outcome outcome,
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -53,6 +53,7 @@
     time_point last_tick;
     // End of the last standstill of the process.
     time_point resumed;
+    time_point status_logged;
     std::unique_ptr<cell::scheduler> scheduler;
     std::shared_ptr<const cell::fleet_config> config;
     std::shared_ptr<journal_writer> journal;
@@ -61,6 +62,7 @@
     std::unordered_map<cell::call_number, peer_reply> calls;
     cell::call_number next_call = 1;
     advice_router advice;
+    std::size_t members = 1;
     std::vector<cell::action> actions;
 
     explicit state(member_info self) : advice(std::move(self)) {}
@@ -96,6 +98,7 @@
   void Tick(std::uint64_t epoch);
   void ScheduleTick(std::uint64_t epoch);
   void CheckPause(state& s);
+  void LogStatus(state& s);
 
   void Look(std::uint64_t epoch, const cell::look_host& look);
   void Start(std::uint64_t epoch, const cell::start_task& start);
--- a/packages/control/src/membership.cc
+++ b/packages/control/src/membership.cc
@@ -62,6 +62,10 @@
     const std::lock_guard lock(mutex_);
     // Answers may overtake each other.
     if (left_ || asked < joined_at_) return;
+    // The store has dropped a member that was away for so long; it comes back as the youngest, so
+    // that the cell stays where it is.
+    const bool dropped = joined_at_ != time_point() && asked - joined_at_ > options_.ttl;
+    if (dropped) self_.started_ms = port_.wall_ms();
     joined_at_ = asked;
     if (*generation != generation_) reads_due_ = kReadsAfterChange;
     generation_ = *generation;
--- a/packages/telemetry/include/sycamorehinge/telemetry/events.h
+++ b/packages/telemetry/include/sycamorehinge/telemetry/events.h
@@ -96,6 +96,7 @@
   kJournalUnreadable,
   kSettingsReloaded,
   kMemberListed,
+  kCellStatus,
   // Decisions about jobs and tasks of the cell.
   kCellJobAccepted = 8101,
   kCellJobRefused,
--- a/packages/telemetry/src/event_catalogue.cc
+++ b/packages/telemetry/src/event_catalogue.cc
@@ -165,6 +165,8 @@
               "none"},
     event_row{kMemberListed, kInfo, "member_listed", "this process listed itself for its peers",
               "none"},
+    event_row{kCellStatus, kInfo, "cell_status",
+              "what the owner of the cell has open, written every few seconds", "none"},
     event_row{kCellJobAccepted, kInfo, "job_accepted", "a job was taken and goes to the journal",
               "none"},
     event_row{kCellJobRefused, kInfo, "job_refused", "a job was not taken and never runs", "none"},
