An end of an earlier run does not free its task while a new owner still looks at hosts

The next owner saw the old failure, took the task for free and started it a third time while the second run went on elsewhere.

Change: only success settles a task of an earlier owner before the recovery is over.

--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -276,8 +276,6 @@
   bool failed = false;
   if (news) {
     MarkDirty(end.task.job, job);
-    // A task that ran elsewhere under an earlier owner needs no look any more.
-    task.unknown = false;
     if (done) MarkDone(end.task, spec, step);
     if (end.how == end_kind::kFailed) failed = CountFailure(end, job, step);
     task.counted_run = end.run;
