Bound the work of a placement pass; a call that an owner dropped may have taken effect

The owner used up its processor, stood still for 0.7 s at a time, and lost the cell again and again.

Change: a pass stops at the first task of a step without a host, looks at the most room of one host first, caches a job's queue, and is at most every 2 ms plus 60 us for each waiting step. Dropped calls are unknown.

Ruled out: the store (one slow phase only) and lost hosts (status line).

--- a/packages/cell/src/advice.cc
+++ b/packages/cell/src/advice.cc
@@ -27,28 +27,18 @@
 // Whether the policy service and the free room leave a place for a question about that much work.
 // Without the first bound tickets come after their time; without the second, many steps ask for the
 // same room, and all but one in vain.
-bool scheduler::state::MayAsk(std::int64_t cores, duration cost, std::uint32_t priority) const {
+bool scheduler::state::MayAsk(const demand& wanted, std::uint32_t tasks, duration cost) const {
   const auto machines = static_cast<std::int64_t>(advice_machines);
   const duration most = options.advice_backlog * machines;
-  if (asked_cost > duration::zero() && asked_cost + cost > most * (priority == 0 ? 2 : 1)) {
-    return false;
-  }
-  return asked_cores == 0 || asked_cores + cores <= FreeCores();
-}
-
-std::int64_t scheduler::state::FreeCores() const {
-  std::int64_t free = 0;
-  for (const host_state& host : hosts) {
-    if (Usable(host)) free += std::max<std::int64_t>(host.Free().cores_milli, 0);
-  }
-  return free;
+  const bool urgent = wanted.queue->priority == 0;
+  if (asked_cost > duration::zero() && asked_cost + cost > most * (urgent ? 2 : 1)) return false;
+  return asked_cores == 0 || asked_cores + wanted.room.cores_milli * tasks <= free_cores;
 }
 
-void scheduler::state::AskForTasks(const task_ref& ref, job_entry& job, step_state& step,
+void scheduler::state::AskForTasks(const task_ref& ref, const demand& wanted, step_state& step,
                                    std::uint32_t tasks) {
   if (step.question != 0 || now < step.ask_again) return;
-  const step_spec& spec = SpecOf(job, ref.step);
-  const std::uint32_t priority = PriorityOf(job);
+  if (!MayAsk(wanted, tasks, wanted.queue->advice->decision)) return;
   step.verdicts.resize(hosts.size());
   struct candidate {
     bool known;
@@ -60,7 +50,7 @@
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
     const host_verdict& verdict = step.verdicts[slot];
     if (verdict.known && (!verdict.approved || TicketHolds(step, slot))) continue;
-    const std::uint32_t copies = FitCount(job, spec, step, slot, priority, false);
+    const std::uint32_t copies = FitCount(wanted, slot, false);
     if (copies > 0) {
       candidates.push_back({verdict.known, hosts[slot].Free().cores_milli, slot, copies});
     }
@@ -68,79 +58,78 @@
   std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
     return std::tuple(!a.known, a.free, a.slot) < std::tuple(!b.known, b.free, b.slot);
   });
-  const double rate = std::max(approval[job.queue].value, kApprovalLeast);
-  const double wanted = kAskSpare * tasks;
+  const double rate = std::max(approval[wanted.queue->name].value, kApprovalLeast);
   double expected = 0;
   std::vector<host_slot> chosen;
   for (const candidate& next : candidates) {
-    if (chosen.size() >= kAskLeast && expected >= wanted) break;
+    if (chosen.size() >= kAskLeast && expected >= kAskSpare * tasks) break;
     chosen.push_back(next.slot);
     expected += next.known ? next.copies : rate * next.copies;
   }
-  Ask(ref, job, step, std::move(chosen), tasks);
+  Ask(ref, wanted, step, std::move(chosen), tasks);
 }
 
-void scheduler::state::AskForGang(const task_ref& ref, job_entry& job, step_state& step) {
+void scheduler::state::AskForGang(const task_ref& ref, const demand& wanted, step_state& step) {
   if (step.question != 0 || now < step.ask_again) return;
-  const step_spec& spec = SpecOf(job, ref.step);
-  const std::uint32_t priority = PriorityOf(job);
   const auto members = static_cast<std::uint32_t>(step.tasks.size());
+  if (!MayAsk(wanted, members, wanted.queue->advice->decision)) return;
   step.verdicts.resize(hosts.size());
   // Approved hosts have the room: keep it until their tickets come.
-  const auto chosen = ChooseGangHosts(job, spec, step, priority, false);
-  if (!chosen.empty()) {
-    std::vector<host_slot> slots;
-    for (const auto& [slot, count] : chosen) slots.push_back(slot);
-    if (!Ask(ref, job, step, std::move(slots), members)) return;
-    Unreserve(step, spec);
-    Reserve(step, spec, chosen);
-    return;
-  }
-  AskUnknown(ref, job, step);
+  const auto chosen = ChooseGangHosts(wanted, false);
+  if (chosen.empty()) return AskUnknown(ref, wanted, step);
+  std::vector<host_slot> slots;
+  for (const auto& [slot, count] : chosen) slots.push_back(slot);
+  if (!Ask(ref, wanted, step, std::move(slots), members)) return;
+  Unreserve(step, *wanted.spec);
+  Reserve(step, *wanted.spec, chosen);
 }
 
 // Asks about hosts without a verdict: those with room if they promise to suffice, and all of them
 // if the gang has waited, so that hosts can be kept free for it.
-void scheduler::state::AskUnknown(const task_ref& ref, job_entry& job, step_state& step) {
-  const step_spec& spec = SpecOf(job, ref.step);
-  const std::uint32_t priority = PriorityOf(job);
+void scheduler::state::AskUnknown(const task_ref& ref, const demand& wanted, step_state& step) {
   const auto members = static_cast<std::uint32_t>(step.tasks.size());
-  std::vector<std::pair<std::int64_t, host_slot>> unknown;
+  struct candidate {
+    std::int64_t free;
+    host_slot slot;
+    std::uint32_t copies;
+  };
+  std::vector<candidate> unknown;
   double approved_room = 0;
   double unknown_room = 0;
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
-    const std::uint32_t copies = FitCount(job, spec, step, slot, priority, false);
-    if (step.verdicts[slot].known) {
-      if (step.verdicts[slot].approved) approved_room += copies;
-      continue;
-    }
-    if (!Usable(hosts[slot]) || !HasLabel(hosts[slot], spec.label)) continue;
-    unknown_room += copies;
-    unknown.emplace_back(-hosts[slot].Free().cores_milli, slot);
+    const host_verdict& verdict = step.verdicts[slot];
+    if (verdict.known && !verdict.approved) continue;
+    const std::uint32_t copies = FitCount(wanted, slot, false);
+    (verdict.known ? approved_room : unknown_room) += copies;
+    if (verdict.known || !Usable(hosts[slot])) continue;
+    if (!HasLabel(hosts[slot], wanted.spec->label)) continue;
+    unknown.push_back({hosts[slot].Free().cores_milli, slot, copies});
   }
-  std::sort(unknown.begin(), unknown.end());
-  const double rate = std::max(approval[job.queue].value, kApprovalLeast);
+  std::sort(unknown.begin(), unknown.end(), [](const auto& a, const auto& b) {
+    return std::tie(b.free, a.slot) < std::tie(a.free, b.slot);
+  });
+  const double rate = std::max(approval[wanted.queue->name].value, kApprovalLeast);
   const bool promising = approved_room + rate * unknown_room >= members;
   if (!promising && now - step.ready_since < options.learn_after) return;
   std::vector<host_slot> slots;
   double expected = approved_room;
-  for (const auto& [free, slot] : unknown) {
+  for (const candidate& next : unknown) {
     const bool enough = slots.size() >= kAskLeast && expected >= kAskSpare * members;
     if (promising && enough) break;
-    slots.push_back(slot);
-    expected += rate * FitCount(job, spec, step, slot, priority, false);
+    slots.push_back(next.slot);
+    expected += rate * next.copies;
   }
-  Ask(ref, job, step, std::move(slots), members);
+  Ask(ref, wanted, step, std::move(slots), members);
 }
 
-bool scheduler::state::Ask(const task_ref& ref, const job_entry& job, step_state& step,
+bool scheduler::state::Ask(const task_ref& ref, const demand& wanted, step_state& step,
                            std::vector<host_slot> slots, std::uint32_t tasks) {
   if (slots.empty()) return false;
   if (slots.size() > options.advice_hosts) slots.resize(options.advice_hosts);
-  const advice_settings& advice = *QueueOf(job)->advice;
+  const advice_settings& advice = *wanted.queue->advice;
   const duration cost = advice.decision + advice.per_host * static_cast<std::int64_t>(slots.size());
-  const std::int64_t cores = RoomOf(SpecOf(job, ref.step)).cores_milli * tasks;
-  if (!MayAsk(cores, cost, PriorityOf(job))) return false;
+  if (!MayAsk(wanted, tasks, cost)) return false;
+  const std::int64_t cores = wanted.room.cores_milli * tasks;
   ask_advice ask{next_question++, ref, {}, cost};
   for (const host_slot slot : slots) ask.hosts.push_back(hosts[slot].entry.id);
   step.question = ask.question;
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -78,11 +78,15 @@
   return found == jobs.end() ? nullptr : &found->second;
 }
 
-const queue_settings* scheduler::state::QueueOf(const job_entry& job) const {
-  return config->FindQueue(job.queue);
+const queue_settings* scheduler::state::QueueOf(job_entry& job) const {
+  if (job.settings_of != config.get()) {
+    job.settings = config->FindQueue(job.queue);
+    job.settings_of = config.get();
+  }
+  return job.settings;
 }
 
-std::uint32_t scheduler::state::PriorityOf(const job_entry& job) const {
+std::uint32_t scheduler::state::PriorityOf(job_entry& job) const {
   const queue_settings* queue = QueueOf(job);
   return queue ? queue->priority : 0;
 }
@@ -95,7 +99,7 @@
   return &found->second.steps[ref.step];
 }
 
-waiting_key scheduler::state::KeyOf(const task_ref& ref, const job_entry& job) const {
+waiting_key scheduler::state::KeyOf(const task_ref& ref, job_entry& job) const {
   return {PriorityOf(job), job.order, ref.job, ref.occurrence, ref.step};
 }
 
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -9,6 +9,10 @@
 
 namespace {
 
+// Passes are spread out when much work waits, so that they leave time for everything else.
+constexpr duration kPassPause = std::chrono::milliseconds(2);
+constexpr duration kPassPausePerStep = std::chrono::microseconds(60);
+
 std::int64_t TimesInto(std::int64_t free, std::int64_t size) {
   if (size <= 0) return std::numeric_limits<std::int32_t>::max();
   return free < size ? 0 : free / size;
@@ -25,6 +29,10 @@
   return std::find(task.failed_on.begin(), task.failed_on.end(), slot) != task.failed_on.end();
 }
 
+bool IsApproved(const step_state& step, host_slot slot) {
+  return slot < step.verdicts.size() && step.verdicts[slot].approved;
+}
+
 resources Times(const resources& size, std::uint32_t count) {
   return {size.cores_milli * count, size.memory_mb * count, size.accelerators * count, 0};
 }
@@ -42,10 +50,26 @@
   return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+void scheduler::state::MeasureRoom() {
+  free_cores = 0;
+  most_free = {};
+  for (const host_state& host : hosts) {
+    if (!Usable(host)) continue;
+    const resources free = host.Free();
+    free_cores += std::max<std::int64_t>(free.cores_milli, 0);
+    most_free.cores_milli = std::max(most_free.cores_milli, free.cores_milli);
+    most_free.memory_mb = std::max(most_free.memory_mb, free.memory_mb);
+    most_free.accelerators = std::max(most_free.accelerators, free.accelerators);
+  }
+}
+
 // Considers waiting steps in the order of priority and age.
 void scheduler::state::Pass() {
-  if (!pass_needed || !owner || !may_start) return;
+  if (!pass_needed || !owner || !may_start || now < next_pass) return;
   pass_needed = false;
+  next_pass = now + kPassPause +
+              kPassPausePerStep * static_cast<std::int64_t>(waiting.size());
+  MeasureRoom();
   std::vector<waiting_key> keys;
   for (const waiting_key& key : waiting) {
     if (keys.size() == options.pass_limit) break;
@@ -86,27 +110,38 @@
   return indices;
 }
 
+demand scheduler::state::DemandOf(const task_ref& ref, job_entry& job,
+                                  const step_state& step) const {
+  const step_spec& spec = SpecOf(job, ref.step);
+  return {&spec, QueueOf(job), &step, RoomOf(spec)};
+}
+
+// False if no host had room for one task when the pass began.
+bool scheduler::state::MightFit(const demand& wanted) const {
+  return CopiesInto(most_free, wanted.room) > 0;
+}
+
 // Number of tasks of the step that the host can take now, whatever the policy says.
-std::uint32_t scheduler::state::FitCount(const job_entry& job, const step_spec& spec,
-                                         const step_state& step, host_slot slot,
-                                         std::uint32_t priority, bool with_reserved) const {
+std::uint32_t scheduler::state::FitCount(const demand& wanted, host_slot slot,
+                                         bool with_reserved) const {
   const host_state& host = hosts[slot];
-  if (!Usable(host) || host.entry.service != QueueOf(job)->service) return 0;
-  if (!HasLabel(host, spec.label)) return 0;
-  if (host.kept_for && host.kept_for != &step && priority >= host.kept_priority) return 0;
+  if (!Usable(host) || host.entry.service != wanted.queue->service) return 0;
+  if (!HasLabel(host, wanted.spec->label)) return 0;
+  const bool kept = host.kept_for && host.kept_for != wanted.step;
+  if (kept && wanted.queue->priority >= host.kept_priority) return 0;
   resources free = host.Free();
   if (with_reserved) {
-    for (const auto& [reserved, count] : step.reserved) {
-      if (reserved == slot) free += Times(RoomOf(spec), count);
+    for (const auto& [reserved, count] : wanted.step->reserved) {
+      if (reserved == slot) free += Times(wanted.room, count);
     }
   }
-  std::uint32_t copies = CopiesInto(free, RoomOf(spec));
-  if (spec.spread_limit > 0) {
+  std::uint32_t copies = CopiesInto(free, wanted.room);
+  if (const std::uint32_t limit = wanted.spec->spread_limit; limit > 0) {
     std::uint32_t there = 0;
-    for (const task_state& task : step.tasks) {
+    for (const task_state& task : wanted.step->tasks) {
       if (task.open != kNoRun && runs.at(task.open).host == slot) ++there;
     }
-    copies = std::min(copies, spec.spread_limit > there ? spec.spread_limit - there : 0);
+    copies = std::min(copies, limit > there ? limit - there : 0);
   }
   return copies;
 }
@@ -118,18 +153,15 @@
 }
 
 // The fitting host that the task fills best: near its data first, and where it has not failed.
-host_slot scheduler::state::BestHost(const job_entry& job, const step_spec& spec,
-                                     const step_state& step, const task_state& task,
-                                     std::uint32_t priority) const {
-  const bool advised = QueueOf(job)->advice.has_value();
+host_slot scheduler::state::BestHost(const demand& wanted, const task_state& task) const {
   host_slot best = kNoHost;
   std::tuple<bool, bool, std::int64_t> best_score;
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
-    if (advised && !TicketHolds(step, slot)) continue;
-    if (FitCount(job, spec, step, slot, priority, false) == 0) continue;
+    if (wanted.Advised() && !TicketHolds(*wanted.step, slot)) continue;
+    if (FitCount(wanted, slot, false) == 0) continue;
     const host_state& host = hosts[slot];
     const bool suspect = FailedOn(task, slot) || (task.failures > 0 && host.failures_in_row > 0);
-    const bool far = !spec.rack.empty() && host.entry.rack.value != spec.rack;
+    const bool far = !wanted.spec->rack.empty() && host.entry.rack.value != wanted.spec->rack;
     const std::tuple score{suspect, far, host.Free().cores_milli};
     if (best != kNoHost && score >= best_score) continue;
     best = slot;
@@ -139,20 +171,20 @@
 }
 
 void scheduler::state::PlaceTasks(const task_ref& ref, job_entry& job, step_state& step) {
-  const step_spec& spec = SpecOf(job, ref.step);
-  const std::uint32_t priority = PriorityOf(job);
-  std::uint32_t left = 0;
-  for (const std::uint32_t index : WaitingTasks(step)) {
-    const host_slot slot = BestHost(job, spec, step, step.tasks[index], priority);
-    if (slot == kNoHost) {
-      ++left;
-      continue;
-    }
+  const demand wanted = DemandOf(ref, job, step);
+  if (!MightFit(wanted)) return;
+  const std::vector<std::uint32_t> indices = WaitingTasks(step);
+  auto left = static_cast<std::uint32_t>(indices.size());
+  for (const std::uint32_t index : indices) {
+    const host_slot slot = BestHost(wanted, step.tasks[index]);
+    // The tasks of a step are alike: where one finds no host, the others find none.
+    if (slot == kNoHost) break;
+    --left;
     const std::uint32_t number =
         static_cast<std::uint32_t>(term - 1) * kRunsPerTerm + ++step.tasks[index].starts;
     StartTask({ref.job, ref.occurrence, ref.step, index}, job, step, slot, number);
   }
-  if (left > 0 && QueueOf(job)->advice) AskForTasks(ref, job, step, left);
+  if (left > 0 && wanted.Advised()) AskForTasks(ref, wanted, step, left);
 }
 
 void scheduler::state::StartTask(const task_ref& ref, job_entry& job, step_state& step,
@@ -174,9 +206,8 @@
 // Hosts for all members; empty if they do not fit. Fills few hosts, those with the least room
 // left over, and one rack if the gang wants that and a rack has the room.
 std::vector<std::pair<host_slot, std::uint32_t>> scheduler::state::ChooseGangHosts(
-    const job_entry& job, const step_spec& spec, const step_state& step, std::uint32_t priority,
-    bool need_ticket) const {
-  const bool advised = QueueOf(job)->advice.has_value();
+    const demand& wanted, bool need_ticket) const {
+  const step_state& step = *wanted.step;
   struct candidate {
     bool suspect;
     std::int64_t left;
@@ -185,13 +216,13 @@
   };
   std::vector<candidate> candidates;
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
-    if (advised && need_ticket && !TicketHolds(step, slot)) continue;
-    if (advised && (slot >= step.verdicts.size() || !step.verdicts[slot].approved)) continue;
-    const std::uint32_t copies = FitCount(job, spec, step, slot, priority, true);
+    if (wanted.Advised() && need_ticket && !TicketHolds(step, slot)) continue;
+    if (wanted.Advised() && !IsApproved(step, slot)) continue;
+    const std::uint32_t copies = FitCount(wanted, slot, true);
     if (copies == 0) continue;
     const host_state& host = hosts[slot];
     candidates.push_back({host.failures_in_row > 0,
-                          host.Free().cores_milli - copies * RoomOf(spec).cores_milli, slot,
+                          host.Free().cores_milli - copies * wanted.room.cores_milli, slot,
                           copies});
   }
   std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
@@ -210,7 +241,7 @@
     if (missing > 0) chosen.clear();
     return chosen;
   };
-  if (spec.same_rack) {
+  if (wanted.spec->same_rack) {
     std::set<rack_id> racks;
     for (const candidate& next : candidates) racks.insert(hosts[next.slot].entry.rack);
     for (const rack_id& rack : racks) {
@@ -221,15 +252,14 @@
 }
 
 void scheduler::state::PlaceGang(const task_ref& ref, job_entry& job, step_state& step) {
-  const step_spec& spec = SpecOf(job, ref.step);
-  const std::uint32_t priority = PriorityOf(job);
+  const demand wanted = DemandOf(ref, job, step);
   if (step.open > 0 || WaitingTasks(step).size() != step.tasks.size()) return;
-  const auto chosen = ChooseGangHosts(job, spec, step, priority, true);
+  const auto chosen = ChooseGangHosts(wanted, true);
   if (chosen.empty()) {
-    if (QueueOf(job)->advice) AskForGang(ref, job, step);
-    return KeepHostsFor(ref, job, step, priority);
+    if (wanted.Advised()) AskForGang(ref, wanted, step);
+    return KeepHostsFor(wanted);
   }
-  Unreserve(step, spec);
+  Unreserve(step, *wanted.spec);
   ReleaseKept(step);
   // All members carry the same run and the same checkpoint.
   std::string saved;
@@ -265,21 +295,19 @@
 
 // Keeps approved hosts free for a gang that has waited long, so that smaller work does not take
 // each piece of room as it becomes free. Only more urgent work may use them meanwhile.
-void scheduler::state::KeepHostsFor(const task_ref& ref, const job_entry& job, step_state& step,
-                                    std::uint32_t priority) {
+void scheduler::state::KeepHostsFor(const demand& wanted) {
+  const step_state& step = *wanted.step;
   if (!step.reserved.empty() || now - step.ready_since < options.reserve_after) return;
   const bool kept = std::any_of(hosts.begin(), hosts.end(), [](const host_state& host) {
     return host.kept_for != nullptr;
   });
   if (kept) return;
-  const step_spec& spec = SpecOf(job, ref.step);
-  const bool advised = QueueOf(job)->advice.has_value();
   std::vector<std::tuple<std::int64_t, host_slot, std::uint32_t>> candidates;
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
     const host_state& host = hosts[slot];
-    if (advised && (slot >= step.verdicts.size() || !step.verdicts[slot].approved)) continue;
-    if (!Usable(host) || !HasLabel(host, spec.label)) continue;
-    const std::uint32_t copies = CopiesInto(host.entry.capacity, RoomOf(spec));
+    if (wanted.Advised() && !IsApproved(step, slot)) continue;
+    if (!Usable(host) || !HasLabel(host, wanted.spec->label)) continue;
+    const std::uint32_t copies = CopiesInto(host.entry.capacity, wanted.room);
     if (copies > 0) candidates.emplace_back(host.taken.cores_milli, slot, copies);
   }
   std::sort(candidates.begin(), candidates.end());
@@ -293,7 +321,7 @@
   if (room < step.tasks.size()) return;
   for (const host_slot slot : chosen) {
     hosts[slot].kept_for = &step;
-    hosts[slot].kept_priority = priority;
+    hosts[slot].kept_priority = wanted.queue->priority;
   }
 }
 
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -304,8 +304,7 @@
 }
 
 // True if the job must fail.
-bool scheduler::state::CountFailure(const end_report& end, const job_entry& job,
-                                    step_state& step) {
+bool scheduler::state::CountFailure(const end_report& end, job_entry& job, step_state& step) {
   const step_spec& spec = SpecOf(job, end.task.step);
   std::uint32_t failures = 0;
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -11,6 +11,7 @@
 // Ticks while something is open, and while nothing is.
 constexpr duration kBusyTick = std::chrono::milliseconds(25);
 constexpr duration kIdleTick = std::chrono::milliseconds(250);
+constexpr duration kLeastTick = std::chrono::milliseconds(2);
 // Interval of passes over the waiting work that no event asked for.
 constexpr duration kFullPass = std::chrono::milliseconds(100);
 
@@ -150,7 +151,8 @@
 time_point scheduler::NextTick() const {
   const state& s = *state_;
   const bool busy = !s.runs.empty() || !s.waiting.empty() || s.recovering;
-  return s.now + (busy ? kBusyTick : kIdleTick);
+  const time_point tick = s.now + (busy ? kBusyTick : kIdleTick);
+  return s.pass_needed ? std::clamp(s.next_pass, s.now + kLeastTick, tick) : tick;
 }
 
 void scheduler::TakeActions(std::vector<action>& out) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -96,6 +96,9 @@
 
 struct job_entry {
   std::string queue;
+  // The queue's settings in the configuration that they were looked up in.
+  const queue_settings* settings = nullptr;
+  const fleet_config* settings_of = nullptr;
   job_phase phase = job_phase::kQueued;
   std::int64_t accepted_ms = 0;
   std::uint64_t order = 0;
@@ -164,6 +167,16 @@
   friend auto operator<=>(const waiting_key&, const waiting_key&) = default;
 };
 
+// What a step wants, as placement sees it.
+struct demand {
+  const step_spec* spec = nullptr;
+  const queue_settings* queue = nullptr;
+  const step_state* step = nullptr;
+  resources room;
+
+  bool Advised() const { return queue->advice.has_value(); }
+};
+
 struct question_state {
   task_ref step;
   std::vector<host_slot> hosts;
@@ -245,7 +258,7 @@
   void OnStop(host_slot slot, const task_ref& ref, std::uint32_t number, call_outcome outcome);
   void OnEnd(host_slot slot, const end_report& end);
   void OnEndOfTask(host_slot slot, const end_report& end, job_entry& job, step_state& step);
-  bool CountFailure(const end_report& end, const job_entry& job, step_state& step);
+  bool CountFailure(const end_report& end, job_entry& job, step_state& step);
   void BlameHost(host_slot slot, job_number job);
   void MarkDone(const task_ref& ref, const step_spec& spec, step_state& step);
   void AbortGang(const task_ref& ref, std::string_view cause);
@@ -258,54 +271,51 @@
 
   // --- placement (placement.cc) ---
   void Pass();
+  void MeasureRoom();
   void TryPlace(const waiting_key& key);
   void PlaceTasks(const task_ref& ref, job_entry& job, step_state& step);
   void PlaceGang(const task_ref& ref, job_entry& job, step_state& step);
   std::vector<std::uint32_t> WaitingTasks(const step_state& step) const;
-  std::uint32_t FitCount(const job_entry& job, const step_spec& spec, const step_state& step,
-                         host_slot slot, std::uint32_t priority, bool with_reserved) const;
+  demand DemandOf(const task_ref& ref, job_entry& job, const step_state& step) const;
+  bool MightFit(const demand& wanted) const;
+  std::uint32_t FitCount(const demand& wanted, host_slot slot, bool with_reserved) const;
   bool TicketHolds(const step_state& step, host_slot slot) const;
-  host_slot BestHost(const job_entry& job, const step_spec& spec, const step_state& step,
-                     const task_state& task, std::uint32_t priority) const;
-  std::vector<std::pair<host_slot, std::uint32_t>> ChooseGangHosts(const job_entry& job,
-                                                                   const step_spec& spec,
-                                                                   const step_state& step,
-                                                                   std::uint32_t priority,
+  host_slot BestHost(const demand& wanted, const task_state& task) const;
+  std::vector<std::pair<host_slot, std::uint32_t>> ChooseGangHosts(const demand& wanted,
                                                                    bool need_ticket) const;
   void StartTask(const task_ref& ref, job_entry& job, step_state& step, host_slot slot,
                  std::uint32_t number);
   void Reserve(step_state& step, const step_spec& spec,
                const std::vector<std::pair<host_slot, std::uint32_t>>& chosen);
   void Unreserve(step_state& step, const step_spec& spec);
-  void KeepHostsFor(const task_ref& ref, const job_entry& job, step_state& step,
-                    std::uint32_t priority);
+  void KeepHostsFor(const demand& wanted);
   void ReleaseKept(const step_state& step);
 
   // --- advice (advice.cc) ---
-  void AskForTasks(const task_ref& ref, job_entry& job, step_state& step, std::uint32_t tasks);
-  void AskForGang(const task_ref& ref, job_entry& job, step_state& step);
-  void AskUnknown(const task_ref& ref, job_entry& job, step_state& step);
-  bool Ask(const task_ref& ref, const job_entry& job, step_state& step,
+  void AskForTasks(const task_ref& ref, const demand& wanted, step_state& step,
+                   std::uint32_t tasks);
+  void AskForGang(const task_ref& ref, const demand& wanted, step_state& step);
+  void AskUnknown(const task_ref& ref, const demand& wanted, step_state& step);
+  bool Ask(const task_ref& ref, const demand& wanted, step_state& step,
            std::vector<host_slot> slots, std::uint32_t tasks);
-  bool MayAsk(std::int64_t cores, duration cost, std::uint32_t priority) const;
-  std::int64_t FreeCores() const;
+  bool MayAsk(const demand& wanted, std::uint32_t tasks, duration cost) const;
   std::optional<question_state> TakeQuestion(std::uint64_t question);
   void OnAdvice(std::uint64_t question, bool answered,
                 std::span<const std::pair<host_id, std::string>> approved);
 
   // --- lookups ---
   job_entry* FindJob(job_number number);
-  const queue_settings* QueueOf(const job_entry& job) const;
+  const queue_settings* QueueOf(job_entry& job) const;
   step_state* FindStep(const task_ref& ref);
   const step_spec& SpecOf(const job_entry& job, std::uint32_t step) const {
     return job.spec.steps[step];
   }
-  std::uint32_t PriorityOf(const job_entry& job) const;
+  std::uint32_t PriorityOf(job_entry& job) const;
   void Dequeue(const waiting_key& key, step_state& step) {
     waiting.erase(key);
     step.waiting = false;
   }
-  waiting_key KeyOf(const task_ref& ref, const job_entry& job) const;
+  waiting_key KeyOf(const task_ref& ref, job_entry& job) const;
 
   scheduler_options options;
   std::shared_ptr<const fleet_config> config = std::make_shared<fleet_config>();
@@ -316,7 +326,11 @@
   bool may_start = true;
   bool recovering = false;
   bool pass_needed = false;
+  time_point next_pass;
   time_point next_full_pass;
+  // Room of usable hosts at the start of the pass, and the most of it on one host.
+  std::int64_t free_cores = 0;
+  resources most_free;
   time_point now;
   std::int64_t wall_ms = 0;
   time_point term_began;
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -289,9 +289,10 @@
   s.hosts.reset();
   s.scheduler.reset();
   s.listed.clear();
+  // These calls may have reached the journal.
   for (auto& [number, reply] : std::exchange(s.calls, {})) {
     out.push_back({epoch, std::nullopt, [reply = std::move(reply)] {
-                     reply(Refusal(errc::kNotOwner));
+                     reply(Refusal(errc::kOutcomeUnknown));
                    }});
   }
   out.push_back({epoch, std::nullopt, hooks_.on_lost});
--- a/packages/control/src/front.cc
+++ b/packages/control/src/front.cc
@@ -14,8 +14,10 @@
   return std::holds_alternative<state_call>(call) || std::holds_alternative<pending_call>(call);
 }
 
-// The process that was asked does not own the cell, or not yet.
-bool IsElsewhere(errc code) { return code == errc::kNotOwner || code == errc::kNotReady; }
+// The process that was asked does not own the cell, not yet, or not any more.
+bool IsElsewhere(errc code) {
+  return code == errc::kNotOwner || code == errc::kNotReady || code == errc::kOutcomeUnknown;
+}
 
 }  // namespace
 
@@ -76,7 +78,8 @@
       state.failing_since = time_point::max();
       return Finish(state, id, *outcome, out);
     }
-    if (!outcome && outcome.detail() != kNotSent) open.sent = true;
+    const bool lost = !outcome && outcome.detail() != kNotSent;
+    if (lost || (outcome && outcome->code == errc::kOutcomeUnknown)) open.sent = true;
     state.failing_since = std::min(state.failing_since, now);
     if (learned) return Try(state, id, out);
     // The owner that failed may be gone: let others tell who has the cell.
