Bound the calls to the policy service on each machine

Change: at most 20 calls and 1.3 s of backlog for each machine; with none free the step asks again later. A 429 leaves a machine out for 0.4 s instead of up to 30 s. Open questions hold 0.4 s for each machine.

Ruled out: a leak of open questions; processor time (0.12 of 0.25 cores at most).

--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -42,7 +42,7 @@
   // Most hosts in one question to the policy service.
   std::size_t advice_hosts = 100;
   // Most time of open questions to the policy service, for each machine that asks it.
-  duration advice_backlog = std::chrono::milliseconds(700);
+  duration advice_backlog = std::chrono::milliseconds(400);
   // Waiting time of a gang after which it asks about hosts without room too.
   duration learn_after = std::chrono::milliseconds(400);
   // A host is avoided this long after failures that its tasks do not explain.
--- a/packages/cell/src/advice.cc
+++ b/packages/cell/src/advice.cc
@@ -30,8 +30,9 @@
 bool scheduler::state::MayAsk(const demand& wanted, std::uint32_t tasks, duration cost) const {
   const auto machines = static_cast<std::int64_t>(advice_machines);
   const duration most = options.advice_backlog * machines;
-  const bool urgent = wanted.queue->priority == 0;
-  if (asked_cost > duration::zero() && asked_cost + cost > most * (urgent ? 2 : 1)) return false;
+  // Urgent work gets through while others have used up their part.
+  const duration part = wanted.queue->priority == 0 ? most * 3 / 2 : most;
+  if (asked_cost > duration::zero() && asked_cost + cost > part) return false;
   return asked_cores == 0 || asked_cores + wanted.room.cores_milli * tasks <= free_cores;
 }
 
--- a/packages/control/src/advice_router.cc
+++ b/packages/control/src/advice_router.cc
@@ -29,11 +29,12 @@
   for (const member_info& member : members) SetMember(member);
 }
 
-const member_info& advice_router::Choose(duration cost, time_point now) {
+std::optional<member_info> advice_router::Choose(duration cost, time_point now) {
   entry* best = nullptr;
   time_point best_time;
   for (auto& [name, row] : entries_) {
-    if (now < row.left_out_until) continue;
+    if (now < row.left_out_until || row.open >= kMostCalls) continue;
+    if (row.busy_until > now + kMostBacklog) continue;
     const bool here = row.member.region == self_.region;
     const duration detour = cost >= kLongCall && here ? kLongCallHere : duration();
     const time_point ready = std::max(row.busy_until, now) + row.trip + detour;
@@ -41,21 +42,28 @@
     best = &row;
     best_time = ready;
   }
-  if (!best) best = &entries_.find(self_.name)->second;
+  if (!best) return std::nullopt;
   best->busy_until = std::max(best->busy_until, now) + cost;
+  ++best->open;
   return best->member;
 }
 
-void advice_router::Finished(std::string_view name, bool answered, time_point now) {
+void advice_router::Finished(std::string_view name, errc code, time_point now) {
   const auto found = entries_.find(name);
   if (found == entries_.end()) return;
   entry& row = found->second;
-  if (answered) {
-    row.pause = {};
-    return;
+  if (row.open > 0) --row.open;
+  switch (code) {
+    case errc::kOk:
+      row.pause = {};
+      return;
+    case errc::kOverloaded:
+      row.left_out_until = now + kOverloadPause;
+      return;
+    default:
+      row.pause = std::clamp(row.pause * 2, kPause, kLongestPause);
+      row.left_out_until = now + row.pause;
   }
-  row.pause = std::clamp(row.pause * 2, kPause, kLongestPause);
-  row.left_out_until = now + row.pause;
 }
 
 }  // namespace sycamorehinge::control
--- a/packages/control/src/advice_router.h
+++ b/packages/control/src/advice_router.h
@@ -2,7 +2,9 @@
 #ifndef SYCAMOREHINGE_CONTROL_SRC_ADVICE_ROUTER_H_
 #define SYCAMOREHINGE_CONTROL_SRC_ADVICE_ROUTER_H_
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,17 +24,23 @@
   static constexpr duration kLongCallHere = std::chrono::milliseconds(500);
   // A machine that gave no answer is left out for this long, doubled each time up to the longest.
   static constexpr duration kPause = std::chrono::seconds(1);
-  static constexpr duration kLongestPause = std::chrono::seconds(30);
+  static constexpr duration kLongestPause = std::chrono::seconds(8);
+  // A machine whose calls were too many for the service gets none for this long.
+  static constexpr duration kOverloadPause = std::chrono::milliseconds(400);
+  // The service refuses a machine with 32 calls waiting, and an answer this late is of no use.
+  static constexpr std::uint32_t kMostCalls = 20;
+  static constexpr duration kMostBacklog = std::chrono::milliseconds(1300);
 
   explicit advice_router(member_info self);
 
   // The processes that are alive.
   void SetMembers(std::span<const member_info> members);
 
-  // The machine that should have the answer first; `cost` is added to its load.
-  const member_info& Choose(duration cost, time_point now);
-  // The call has an answer, or none.
-  void Finished(std::string_view name, bool answered, time_point now);
+  // The machine that should have the answer first; `cost` is added to its load. nullopt if all have
+  // as much to do as they can.
+  std::optional<member_info> Choose(duration cost, time_point now);
+  // The call ended with kOk, kOverloaded or another error.
+  void Finished(std::string_view name, errc code, time_point now);
 
  private:
   struct entry {
@@ -42,6 +50,7 @@
     time_point busy_until;
     time_point left_out_until;
     duration pause{};
+    std::uint32_t open = 0;
   };
 
   void SetMember(const member_info& member);
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -13,6 +13,8 @@
 constexpr duration kStatusInterval = std::chrono::seconds(2);
 constexpr std::string_view kProducer = "cell";
 
+std::int64_t Milliseconds(duration time) { return time.count() / 1000; }
+
 }  // namespace
 
 cell_owner::cell_owner(const ports& port, const control_options& options, decision_log& log,
@@ -42,7 +44,7 @@
   const time_point now = port_.now();
   const duration pause = now - s.last_tick;
   if (pause <= options_.pause_limit) return;
-  log_.Write(event_number::kProcessWasPaused, {{"milliseconds", pause.count() / 1000}});
+  log_.Write(event_number::kProcessWasPaused, {{"milliseconds", Milliseconds(pause)}});
   s.scheduler->SetMayStart(false);
   s.resumed = now;
   s.last_tick = now;
@@ -412,11 +414,24 @@
 }
 
 void cell_owner::Ask(std::uint64_t epoch, const cell::ask_advice& ask) {
-  member_info member;
-  Change([&](state& s, effects&) { member = s.advice.Choose(ask.cost, port_.now()); });
+  std::optional<member_info> chosen;
+  Change([&](state& s, effects&) {
+    chosen = s.advice.Choose(ask.cost, port_.now());
+    const bool owned = s.now == phase::kActive && s.epoch == epoch;
+    if (!chosen && owned) s.scheduler->OnAdvice(ask.question, false, {}, port_.now());
+  });
+  if (!chosen) return;
+  const member_info& member = *chosen;
   const duration timeout = ask.cost * 2 + options_.advice_slack;
-  const auto done = [this, epoch, question = ask.question, name = member.name](
+  const time_point sent = port_.now();
+  const auto done = [this, epoch, question = ask.question, name = member.name, sent](
                         const result<std::vector<approved_host>>& outcome) {
+    if (!outcome) {
+      log_.Write(event_number::kAdviceUnanswered, {{"member", name},
+                                                   {"cause", ErrorName(outcome.code())},
+                                                   {"detail", outcome.detail()},
+                                                   {"after_ms", Milliseconds(port_.now() - sent)}});
+    }
     OnAdvised(epoch, question, name, outcome);
   };
   if (member.name == options_.self.name) {
@@ -434,7 +449,7 @@
                            const result<std::vector<approved_host>>& outcome) {
   const time_point now = port_.now();
   Change([&](state& s, effects&) {
-    s.advice.Finished(member, bool(outcome), now);
+    s.advice.Finished(member, outcome.code(), now);
     if (s.now != phase::kActive || s.epoch != epoch) return;
     std::vector<std::pair<host_id, std::string>> approved;
     if (outcome) {
--- a/packages/telemetry/include/sycamorehinge/telemetry/events.h
+++ b/packages/telemetry/include/sycamorehinge/telemetry/events.h
@@ -97,6 +97,7 @@
   kSettingsReloaded,
   kMemberListed,
   kCellStatus,
+  kAdviceUnanswered,
   // Decisions about jobs and tasks of the cell.
   kCellJobAccepted = 8101,
   kCellJobRefused,
