Count each failed run once, whatever the order of the reports; a job has begun when a host has a run

Change: a task keeps the set of its failed runs; the phase becomes running when a host confirms or shows a run.

--- a/packages/cell/include/sycamorehinge/cell/records.h
+++ b/packages/cell/include/sycamorehinge/cell/records.h
@@ -27,9 +27,8 @@
 
 struct task_progress {
   bool done = false;
-  std::uint32_t failures = 0;
-  // Run that ended last; its end is not counted again.
-  std::uint32_t run = 0;
+  // Runs that failed. Their ends may be reported again, in any order, and count once.
+  std::vector<std::uint32_t> failed_runs;
 };
 
 struct occurrence_progress {
--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -184,10 +184,7 @@
     if (id == kNoRun) continue;
     seen.insert(id);
     run_state& run = runs.at(id);
-    if (run.phase == run_phase::kStarting || run.phase == run_phase::kUncertain) {
-      run.phase = run_phase::kRunning;
-      run.settled = now;
-    }
+    if (run.phase == run_phase::kStarting || run.phase == run_phase::kUncertain) Settle(id);
     if (report.percent != run.percent) run.progressed = now;
     run.percent = report.percent;
     run.saved = report.saved;
@@ -207,13 +204,12 @@
     return StopForeign(slot, report);
   }
   task_state& task = step->tasks[report.task.index];
-  const bool wanted = !task.done && task.open == kNoRun && report.run > task.counted_run;
+  const bool wanted = !task.done && task.open == kNoRun && !task.HasFailed(report.run);
   const step_spec& spec = SpecOf(*job, report.task.step);
   const run_number id =
       OpenRun(report.task, slot, spec.size, report.run, run_phase::kRunning);
-  runs.at(id).settled = now;
+  Settle(id);
   task.unknown = false;
-  if (job->phase == job_phase::kQueued) job->phase = job_phase::kRunning;
   if (wanted) {
     task.open = id;
     ++step->open;
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -18,8 +18,7 @@
       for (const task_progress& task : open.steps[i]) {
         task_state& state = step.tasks.emplace_back();
         state.done = task.done;
-        state.failures = task.failures;
-        state.counted_run = task.run;
+        state.failed_runs = task.failed_runs;
         if (task.done) ++step.done;
       }
       if (!step.tasks.empty() && step.done == step.tasks.size()) ++occurrence.steps_done;
--- a/packages/cell/src/journal.cc
+++ b/packages/cell/src/journal.cc
@@ -23,7 +23,7 @@
       for (const step_state& step : occurrence.steps) {
         std::vector<task_progress>& tasks = open.steps.emplace_back();
         for (const task_state& task : step.tasks) {
-          tasks.push_back({task.done, task.failures, task.counted_run});
+          tasks.push_back({task.done, task.failed_runs});
         }
       }
       record.open.push_back(std::move(open));
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -160,7 +160,8 @@
     if (wanted.Advised() && !TicketHolds(*wanted.step, slot)) continue;
     if (FitCount(wanted, slot, false) == 0) continue;
     const host_state& host = hosts[slot];
-    const bool suspect = FailedOn(task, slot) || (task.failures > 0 && host.failures_in_row > 0);
+    const bool suspect =
+        FailedOn(task, slot) || (!task.failed_runs.empty() && host.failures_in_row > 0);
     const bool far = !wanted.spec->rack.empty() && host.entry.rack.value != wanted.spec->rack;
     const std::tuple score{suspect, far, host.Free().cores_milli};
     if (best != kNoHost && score >= best_score) continue;
@@ -197,7 +198,6 @@
   ++step.open;
   run.saved = task.saved;
   if (slot < step.verdicts.size()) run.ticket = step.verdicts[slot].ticket;
-  if (job.phase == job_phase::kQueued) job.phase = job_phase::kRunning;
   Note(decision_kind::kTaskStarted, ref, number, hosts[slot].entry.id.value, job.queue,
        now - step.ready_since);
   SendStart(id);
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -156,16 +156,21 @@
   if (id == kNoRun) return;
   run_state& run = runs.at(id);
   if (run.phase != run_phase::kStarting && run.phase != run_phase::kUncertain) return;
-  if (outcome == call_outcome::kDone) {
-    run.phase = run_phase::kRunning;
-    run.settled = now;
-    return;
-  }
+  if (outcome == call_outcome::kDone) return Settle(id);
   Note(decision_kind::kStartFailed, ref, number, hosts[slot].entry.id.value, ToString(outcome));
   if (outcome == call_outcome::kUnknown) return StartUnanswered(id);
   StartRefused(id, outcome);
 }
 
+// The host has the run: its job has begun.
+void scheduler::state::Settle(run_number id) {
+  run_state& run = runs.at(id);
+  run.phase = run_phase::kRunning;
+  run.settled = now;
+  job_entry* job = FindJob(run.task.job);
+  if (job && job->phase == job_phase::kQueued) job->phase = job_phase::kRunning;
+}
+
 void scheduler::state::StartUnanswered(run_number id) {
   run_state& run = runs.at(id);
   run.phase = run_phase::kUncertain;
@@ -269,22 +274,20 @@
   const step_spec& spec = SpecOf(job, end.task.step);
   task_state& task = step.tasks[end.task.index];
   const run_number id = FindRun(slot, end.task, end.run);
-  const bool news = !task.done && end.run > task.counted_run;
-  const bool done = end.how == end_kind::kDone && !spec.long_running;
+  const bool done = end.how == end_kind::kDone && !spec.long_running && !task.done;
+  const bool failed = end.how == end_kind::kFailed && !task.done && !task.HasFailed(end.run);
   if (!end.saved.empty() && !task.done) task.saved = end.saved;
   if (id != kNoRun) runs.at(id).saved.clear();
-  bool failed = false;
-  if (news) {
-    MarkDirty(end.task.job, job);
-    if (done) MarkDone(end.task, spec, step);
-    if (end.how == end_kind::kFailed) failed = CountFailure(end, job, step);
-    task.counted_run = end.run;
+  bool hopeless = false;
+  if (done || failed) MarkDirty(end.task.job, job);
+  if (done) MarkDone(end.task, spec, step);
+  if (failed) {
+    hopeless = CountFailure(slot, end, job, step);
+    BlameHost(slot, end.task.job);
   }
   if (end.how == end_kind::kDone) hosts[slot].failures_in_row = 0;
-  if (end.how == end_kind::kFailed && news) BlameHost(slot, end.task.job);
   CloseRun(id, ToString(end.how));
-  if (!news) return;
-  if (failed) {
+  if (hopeless) {
     Note(decision_kind::kJobEnded, end.task, end.run, {}, "a task failed too often");
     return FinishJob(end.task.job, job, job_phase::kFailed);
   }
@@ -303,20 +306,20 @@
   }
 }
 
-// True if the job must fail.
-bool scheduler::state::CountFailure(const end_report& end, job_entry& job, step_state& step) {
+// True if the job must fail. The failure of one member is one of the whole gang.
+bool scheduler::state::CountFailure(host_slot slot, const end_report& end, job_entry& job,
+                                    step_state& step) {
   const step_spec& spec = SpecOf(job, end.task.step);
-  std::uint32_t failures = 0;
+  if (spec.long_running) return false;
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
     task_state& task = step.tasks[i];
-    if ((!spec.gang && i != end.task.index) || task.counted_run >= end.run) continue;
-    ++task.failures;
-    task.counted_run = end.run;
-    failures = std::max(failures, task.failures);
+    if ((!spec.gang && i != end.task.index) || task.HasFailed(end.run)) continue;
+    task.failed_runs.push_back(end.run);
   }
+  task_state& task = step.tasks[end.task.index];
+  task.failed_on.push_back(slot);
   const queue_settings* queue = QueueOf(job);
-  const std::uint32_t most = queue ? queue->max_attempts : 1;
-  return failures >= most && !spec.long_running;
+  return task.failed_runs.size() >= (queue ? queue->max_attempts : 1);
 }
 
 void scheduler::state::BlameHost(host_slot slot, job_number job) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -2,6 +2,7 @@
 #ifndef SYCAMOREHINGE_CELL_SRC_STATE_H_
 #define SYCAMOREHINGE_CELL_SRC_STATE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -57,15 +58,17 @@
 
 struct task_state {
   bool done = false;
-  std::uint32_t failures = 0;
-  // Highest run whose end was counted.
-  std::uint32_t counted_run = 0;
+  std::vector<std::uint32_t> failed_runs;
   std::uint32_t starts = 0;
   run_number open = kNoRun;
   // An earlier owner may have started it on a host that was not looked at yet.
   bool unknown = false;
   std::string saved;
   std::vector<host_slot> failed_on;
+
+  bool HasFailed(std::uint32_t run) const {
+    return std::find(failed_runs.begin(), failed_runs.end(), run) != failed_runs.end();
+  }
 };
 
 struct host_verdict {
@@ -258,13 +261,14 @@
   void OnStop(host_slot slot, const task_ref& ref, std::uint32_t number, call_outcome outcome);
   void OnEnd(host_slot slot, const end_report& end);
   void OnEndOfTask(host_slot slot, const end_report& end, job_entry& job, step_state& step);
-  bool CountFailure(const end_report& end, job_entry& job, step_state& step);
+  bool CountFailure(host_slot slot, const end_report& end, job_entry& job, step_state& step);
   void BlameHost(host_slot slot, job_number job);
   void MarkDone(const task_ref& ref, const step_spec& spec, step_state& step);
   void AbortGang(const task_ref& ref, std::string_view cause);
   void ResolveUncertain(run_number id, time_point look_sent);
   void TickRuns();
   void CheckStall(run_number id);
+  void Settle(run_number id);
   void StartUnanswered(run_number id);
   void StartRefused(run_number id, call_outcome outcome);
   run_number FindRun(host_slot slot, const task_ref& ref, std::uint32_t number) const;
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -40,7 +40,7 @@
 }
 template <class Archive>
 void serialize(Archive& archive, task_progress& value) {
-  Fields(archive, value.done, value.failures, value.run);
+  Fields(archive, value.done, value.failed_runs);
 }
 template <class Archive>
 void serialize(Archive& archive, occurrence_progress& value) {
