--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -15,6 +15,8 @@
 
 // Slack for the time between an answer of the host and its arrival here.
 constexpr duration kLeaseSlack = std::chrono::milliseconds(100);
+// Time that a host without runs waits to be told that its ends are in the journal.
+constexpr duration kTellPause = std::chrono::milliseconds(1500);
 // Time for which an owner that lost the cell may go on before it learns so.
 constexpr duration kOldOwnerSlack = std::chrono::milliseconds(1500);
 
@@ -35,8 +37,9 @@
   if (!host.listed) Note(decision_kind::kHostFound, {}, 0, entry.id.value, entry.address);
   host.listed = true;
   host.entry = entry;
-  if (entry.born == 0) host.entry.born = born;
-  if (born != 0 && entry.born != 0 && entry.born != born) Restarted(host, entry.born);
+  // The list lags behind what looks have told.
+  host.entry.born = std::max(born, entry.born);
+  if (born != 0 && entry.born > born) Restarted(host, entry.born);
   if (!host.looked) host.next_look = std::min(host.next_look, now);
   pass_needed |= draining_before && !entry.draining;
   if (owner) TickHost(slot);
@@ -54,9 +57,13 @@
 void scheduler::state::Restarted(host_state& host, std::int64_t born) {
   Note(decision_kind::kHostRestarted, {}, 0, host.entry.id.value, "started anew");
   host.entry.born = born;
+  host.restarted_at = now;
   host.looked = false;
   host.processed = 0;
   host.acknowledged = 0;
+  host.told = 0;
+  host.telling = 0;
+  host.deadline_ms = 0;
   host.unacknowledged.clear();
   host.clock_ms = 0;
   host.foreign = 0;
@@ -82,7 +89,7 @@
 bool scheduler::state::WantsLook(const host_state& host) const {
   if (!host.looked) return host.listed || host.journaled;
   return !host.runs.empty() || host.foreign > 0 || !host.unacknowledged.empty() ||
-         host.acknowledged < host.processed || host.look_failures > 0;
+         host.told < host.acknowledged || host.look_failures > 0;
 }
 
 void scheduler::state::TickHost(host_slot slot) {
@@ -95,17 +102,24 @@
   // to renew the lease.
   const bool journal_behind = !host.unacknowledged.empty();
   if (journal_behind && now < host.look_sent + options.lease / 4) return;
+  // An idle host learns later that its last ends are in the journal: another start may come first.
+  const bool only_tells = host.looked && host.runs.empty() && host.foreign == 0 &&
+                          !journal_behind && host.look_failures == 0;
+  if (only_tells && now < host.look_sent + kTellPause) return;
   SendLook(slot);
 }
 
-// A lease that starts now on the host's clock; the end of the lease on ours is noted.
+// End of a lease that starts now, on the host's clock; the end on ours is noted. A silent host gets
+// no longer lease: calls that it does not answer may still reach it, and its tasks must run out.
 std::int64_t scheduler::state::Deadline(host_state& host) {
+  if (host.look_failures > 0) return host.deadline_ms;
   const std::int64_t deadline =
       host.clock_ms + ToMs(now - host.clock_read) + ToMs(options.lease);
-  const auto left = std::chrono::milliseconds(deadline - host.clock_ms);
+  host.deadline_ms = std::max(host.deadline_ms, deadline);
+  const auto left = std::chrono::milliseconds(host.deadline_ms - host.clock_ms);
   const auto longest = std::chrono::duration_cast<duration>(left / (1 - options.clock_drift));
   host.lease_over = std::max(host.lease_over, host.clock_read + longest + kLeaseSlack);
-  return deadline;
+  return host.deadline_ms;
 }
 
 void scheduler::state::SendLook(host_slot slot) {
@@ -113,7 +127,8 @@
   look_host look{host.entry.id, host.entry.address, token, host.acknowledged, {}, {}};
   if (host.HasClock()) look.deadline_ms = Deadline(host);
   const bool quiet = host.looked && host.look_failures == 0 && host.unacknowledged.empty();
-  if (quiet) look.wait = options.look_wait;
+  if (quiet && !host.runs.empty()) look.wait = options.look_wait;
+  host.telling = look.last_seen;
   host.look_open = true;
   host.look_sent = now;
   actions.emplace_back(std::move(look));
@@ -134,12 +149,15 @@
   if (!look) return LookFailed(slot, outcome);
   host_state& host = hosts[slot];
   if (look->born != 0 && host.entry.born != 0 && look->born != host.entry.born) {
+    // An answer of the life before tells nothing about this one.
+    if (sent <= host.restarted_at) return LookFailed(slot, call_outcome::kUnknown);
     Restarted(host, look->born);
   }
   if (look->born != 0) host.entry.born = look->born;
   if (host.look_failures > 0 || !host.looked) pass_needed = true;
   host.look_failures = 0;
   host.looked = true;
+  host.told = std::max(host.told, host.telling);
   host.next_look = now + options.look_gap;
   ReadClock(host, look->clock_ms);
   if (!host.journaled) {
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -66,6 +66,7 @@
 // Considers waiting steps in the order of priority and age.
 void scheduler::state::Pass() {
   if (!pass_needed || !owner || !may_start || now < next_pass) return;
+  if (durable < term_sequence) return;
   pass_needed = false;
   next_pass = now + kPassPause +
               kPassPausePerStep * static_cast<std::int64_t>(waiting.size());
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -34,7 +34,7 @@
   s.term_began = now;
   s.owner = true;
   s.recovering = true;
-  s.Write(term_record{term});
+  s.term_sequence = s.Write(term_record{term});
   for (auto& [number, job] : s.jobs) {
     if (!job.Ended()) s.Activate(number, job);
   }
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -134,6 +134,11 @@
   // Ends processed here, and those of them that are in the journal.
   std::uint64_t processed = 0;
   std::uint64_t acknowledged = 0;
+  // Ends that the host knows to be in the journal.
+  std::uint64_t told = 0;
+  std::uint64_t telling = 0;
+  // Last end of a lease that was sent, on the host's clock.
+  std::int64_t deadline_ms = 0;
   std::deque<std::pair<std::uint64_t, std::uint64_t>> unacknowledged;
 
   bool look_open = false;
@@ -141,6 +146,7 @@
   time_point next_look;
   std::uint32_t look_failures = 0;
   time_point silent_since;
+  time_point restarted_at;
 
   // The host's clock at a moment of ours; zero clock if unknown.
   std::int64_t clock_ms = 0;
@@ -326,6 +332,8 @@
   std::uint64_t loaded_term = 0;
   std::uint64_t term = 0;
   std::uint64_t token = 0;
+  // Nothing starts before the journal has the term: the next owner counts on from it.
+  std::uint64_t term_sequence = 0;
   bool owner = false;
   bool may_start = true;
   bool recovering = false;
--- /dev/null
+++ b/packages/cell/tests/cell_world.cc
@@ -0,0 +1,470 @@
+#include "cell_world.h"
+
+#include <algorithm>
+
+namespace sycamorehinge::cell::testing {
+
+namespace {
+
+constexpr duration kStep = milliseconds(5);
+constexpr duration kTrip = milliseconds(2);
+constexpr duration kStopTime = milliseconds(300);
+constexpr duration kTimeout = milliseconds(700);
+
+std::string KeyOf(const journal_record& record) {
+  return std::visit(
+      overloaded{[](const term_record&) { return std::string("t"); },
+                 [](const accepted_record& row) { return "j" + std::to_string(row.job); },
+                 [](const progress_record& row) { return "s" + std::to_string(row.job); },
+                 [](const retire_job& row) { return "j" + std::to_string(row.job); },
+                 [](const forget_job& row) { return "s" + std::to_string(row.job); },
+                 [](const host_record& row) { return "h" + row.host.value; },
+                 [](const forget_host& row) { return "h" + row.host.value; }},
+      record);
+}
+
+bool Removes(const journal_record& record) {
+  return std::holds_alternative<retire_job>(record) ||
+         std::holds_alternative<forget_job>(record) || std::holds_alternative<forget_host>(record);
+}
+
+std::string Text(const task_ref& task) {
+  return std::to_string(task.job) + "." + std::to_string(task.occurrence) + "." +
+         std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+}  // namespace
+
+job_spec OneStep(std::uint32_t count, std::int64_t cores_milli, duration run_time) {
+  job_spec spec;
+  spec.payload = "work";
+  step_spec step;
+  step.count = count;
+  step.size = {cores_milli, 1000, 0, 0};
+  step.run_time = run_time;
+  spec.steps.push_back(step);
+  return spec;
+}
+
+cell_world::cell_world(scheduler_options options, std::uint64_t seed)
+    : now(std::chrono::hours(1)), options_(options), random_(seed) {
+  run_time = [](const task_ref&, duration declared) { return declared; };
+  outcome = [](const task_ref&, std::uint32_t) { return end_kind::kDone; };
+  approve = [](const task_ref&, const host_id&) { return true; };
+  config_->version = 1;
+}
+
+std::uint64_t cell_world::Random() {
+  random_ = random_ * 6364136223846793005ULL + 1442695040888963407ULL;
+  return random_ >> 33;
+}
+
+fake_host& cell_world::AddHost(std::string name, const resources& capacity, std::string rack) {
+  fake_host& host = hosts[name];
+  host.entry.id.value = name;
+  host.entry.address = name;
+  host.entry.service = "s";
+  host.entry.rack.value = rack;
+  host.entry.labels = {"a", rack};
+  host.entry.capacity = capacity;
+  host.entry.born = 1000;
+  // Clocks of hosts differ.
+  host.clock_zero_ms = static_cast<std::int64_t>(hosts.size()) * 77'000;
+  if (owner) owner->SetHost(host.entry, now);
+  return host;
+}
+
+queue_settings& cell_world::AddQueue(std::string name, std::uint32_t priority,
+                                     std::uint32_t max_attempts) {
+  queue_settings& queue = config_->queues.emplace_back();
+  queue.name = std::move(name);
+  queue.service = "s";
+  queue.priority = priority;
+  queue.max_attempts = max_attempts;
+  return queue;
+}
+
+void cell_world::Begin() { ReplaceOwner(); }
+
+void cell_world::KillOwner() {
+  owner.reset();
+  unwritten_.clear();
+  flushing_ = false;
+  ++epoch_;
+}
+
+void cell_world::ReplaceOwner() {
+  KillOwner();
+  owner = std::make_unique<scheduler>(options_);
+  for (const auto& [key, record] : journal_) owner->Load(record);
+  for (const auto& [name, host] : hosts) owner->SetHost(host.entry, now);
+  owner->SetConfig(config_);
+  owner->BeginTerm(owner->LoadedTerm() + 1, epoch_, now, wall_ms);
+  Act();
+}
+
+void cell_world::RestartHost(const std::string& name) {
+  fake_host& host = hosts.at(name);
+  // Ends that nobody has taken note of are as if they had not been.
+  for (const end_report& end : host.ended) {
+    if (end.how == end_kind::kDone) tasks[end.task].done = false;
+    if (end.how == end_kind::kFailed) tasks[end.task].failed.erase(end.run);
+  }
+  host.running.clear();
+  host.ended.clear();
+  host.highest_ended.clear();
+  host.next_end = 1;
+  host.token = 0;
+  host.entry.born += 1;
+  host.lease_until_ms = 0;
+}
+
+void cell_world::After(duration delay, std::function<void()> task) {
+  events_.emplace(now + delay, std::move(task));
+}
+
+void cell_world::Run(duration time) {
+  const time_point end = now + time;
+  while (now < end) {
+    now += kStep;
+    wall_ms += kStep.count() / 1000;
+    TickHosts();
+    while (!events_.empty() && events_.begin()->first <= now) {
+      const auto task = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      task();
+      Act();
+    }
+    if (owner && owner->NextTick() <= now) owner->Tick(now, wall_ms);
+    Act();
+  }
+}
+
+bool cell_world::RunUntil(const std::function<bool()>& reached, duration limit) {
+  const time_point end = now + limit;
+  while (!reached()) {
+    if (now >= end) return false;
+    Run(kStep);
+  }
+  return true;
+}
+
+void cell_world::Act() {
+  while (owner) {
+    std::vector<action> actions;
+    owner->TakeActions(actions);
+    if (actions.empty()) return;
+    for (const action& next : actions) Carry(next);
+  }
+}
+
+void cell_world::Carry(const action& next) {
+  std::visit(overloaded{[&](const write_record& write) {
+                          unwritten_.emplace_back(write.sequence, write.record);
+                          if (!flushing_) {
+                            flushing_ = true;
+                            After(journal_delay, [this, epoch = epoch_] {
+                              if (epoch == epoch_) FlushJournal();
+                            });
+                          }
+                        },
+                        [&](const answer_call& answer) {
+                          replies_[answer.call] = answer;
+                          const auto found = calls_.find(answer.call);
+                          if (found != calls_.end()) answers_[found->second] = answer.code;
+                        },
+                        [&](const look_host& look) { Look(look); },
+                        [&](const start_task& start) { Start(start); },
+                        [&](const stop_task& stop) { Stop(stop); },
+                        [](const pace_task&) {},
+                        [&](const ask_advice& ask) { Advise(ask); },
+                        [&](const step_down&) { stepped_down = true; },
+                        [&](const note_decision& note) { notes.push_back(note); }},
+             next);
+}
+
+void cell_world::FlushJournal() {
+  if (!journal_available) {
+    After(milliseconds(50), [this, epoch = epoch_] {
+      if (epoch == epoch_) FlushJournal();
+    });
+    return;
+  }
+  flushing_ = false;
+  if (unwritten_.empty() || !owner) return;
+  const std::uint64_t last = unwritten_.back().first;
+  for (const auto& [sequence, record] : std::exchange(unwritten_, {})) {
+    if (Removes(record)) {
+      journal_.erase(KeyOf(record));
+    } else {
+      journal_[KeyOf(record)] = record;
+    }
+  }
+  owner->Durable(last);
+}
+
+std::int64_t cell_world::ClockOf(const fake_host& host) const {
+  return host.clock_zero_ms + now.time_since_epoch().count() / 1000;
+}
+
+const step_spec* cell_world::SpecOf(const task_ref& task) const {
+  const auto found = specs_.find(task.job);
+  if (found == specs_.end() || task.step >= found->second.steps.size()) return nullptr;
+  return &found->second.steps[task.step];
+}
+
+// --- callers ---
+
+void cell_world::Submit(job_number job, const std::string& queue, job_spec spec) {
+  const call_number call = next_call_++;
+  calls_[call] = job;
+  specs_[job] = spec;
+  queue_of_[job] = queue;
+  if (owner) owner->Submit(call, job, queue, std::move(spec), now, wall_ms);
+  Act();
+}
+
+void cell_world::Cancel(job_number job) {
+  const call_number call = next_call_++;
+  calls_[call] = job;
+  answers_.erase(job);
+  if (owner) owner->Cancel(call, job, wall_ms);
+  Act();
+}
+
+errc cell_world::AnswerTo(job_number job) const {
+  const auto found = answers_.find(job);
+  return found == answers_.end() ? errc::kInternal : found->second;
+}
+
+job_phase cell_world::Phase(job_number job) {
+  const call_number call = next_call_++;
+  owner->State(call, job);
+  Act();
+  return replies_[call].phase;
+}
+
+errc cell_world::StateCode(job_number job) {
+  const call_number call = next_call_++;
+  owner->State(call, job);
+  Act();
+  return replies_[call].code;
+}
+
+std::uint64_t cell_world::PendingJobs(const std::string& queue) {
+  const call_number call = next_call_++;
+  owner->Pending(call, queue);
+  Act();
+  return replies_[call].pending;
+}
+
+std::uint32_t cell_world::Running(job_number job) const {
+  std::uint32_t count = 0;
+  for (const auto& [name, host] : hosts) {
+    for (const auto& [key, run] : host.running) count += key.first.job == job ? 1 : 0;
+  }
+  return count;
+}
+
+// --- hosts ---
+
+void cell_world::TickHosts() {
+  for (auto& [name, host] : hosts) {
+    std::vector<std::pair<std::pair<task_ref, std::uint32_t>, end_kind>> over;
+    const bool lapsed = ClockOf(host) > host.lease_until_ms;
+    if (lapsed) host.lapsed_at = now;
+    for (const auto& [key, run] : host.running) {
+      if (lapsed) {
+        over.emplace_back(key, end_kind::kLapsed);
+      } else if (run.ends <= now && (!host.stands_still || run.stopping)) {
+        over.emplace_back(key, run.stopping ? end_kind::kStopped : run.how);
+      }
+    }
+    for (const auto& [key, how] : over) EndRun(host, key, how);
+  }
+}
+
+void cell_world::EndRun(fake_host& host, const std::pair<task_ref, std::uint32_t>& key,
+                        end_kind how) {
+  host.running.erase(key);
+  host.ended_at[host.next_end] = now;
+  host.ended.push_back({host.next_end++, key.first, key.second, how, {}});
+  host.highest_ended[key.first] = std::max(host.highest_ended[key.first], key.second);
+  task_history& history = tasks[key.first];
+  if (how == end_kind::kDone) history.done = true;
+  if (how == end_kind::kFailed) history.failed.insert(key.second);
+}
+
+void cell_world::Look(const look_host& look) {
+  ++looks;
+  const std::uint64_t epoch = epoch_;
+  const time_point sent = now;
+  After(kTrip, [this, epoch, sent, look] {
+    fake_host& host = hosts.at(look.host.value);
+    if (host.cut) {
+      After(kTimeout, [this, epoch, sent, look] {
+        if (epoch == epoch_ && owner) {
+          owner->OnLook(look.host, sent, call_outcome::kUnknown, nullptr, now);
+        }
+      });
+      return;
+    }
+    if (look.token < host.token) {
+      if (epoch == epoch_ && owner) {
+        owner->OnLook(look.host, sent, call_outcome::kFenced, nullptr, now);
+      }
+      return;
+    }
+    host.token = look.token;
+    if (look.deadline_ms) host.lease_until_ms = std::max(host.lease_until_ms, *look.deadline_ms);
+    std::erase_if(host.ended, [&](const end_report& end) {
+      if (end.number > look.last_seen) return false;
+      if (host.ended_at[end.number] <= host.lapsed_at) return true;
+      task_history& history = tasks[end.task];
+      const time_point ended = host.ended_at[end.number];
+      if (end.how == end_kind::kDone) history.noted_done = std::min(history.noted_done, ended);
+      if (end.how == end_kind::kFailed) history.noted_failures.push_back(ended);
+      CheckTask(end.task);
+      return true;
+    });
+    AnswerLook(epoch, sent, look, now + look.wait);
+  });
+}
+
+void cell_world::AnswerLook(std::uint64_t epoch, time_point sent, const look_host& look,
+                            time_point until) {
+  fake_host& host = hosts.at(look.host.value);
+  if (host.ended.empty() && now < until) {
+    After(kStep, [this, epoch, sent, look, until] { AnswerLook(epoch, sent, look, until); });
+    return;
+  }
+  host_look seen;
+  seen.clock_ms = ClockOf(host);
+  seen.born = host.entry.born;
+  seen.ended = host.ended;
+  for (const auto& [key, run] : host.running) {
+    run_report report{key.first, key.second, {}, 0, 0};
+    const duration total = std::max<duration>(run.ends - run.started, milliseconds(1));
+    const auto percent = (now - run.started) * 100 / total;
+    if (!host.stands_still) report.percent = static_cast<std::uint32_t>(std::min<long>(percent, 99));
+    seen.running.push_back(report);
+  }
+  const bool cut = host.cut;
+  After(cut ? kTimeout : kTrip, [this, epoch, sent, look, seen, cut] {
+    if (epoch != epoch_ || !owner) return;
+    owner->OnLook(look.host, sent, cut ? call_outcome::kUnknown : call_outcome::kDone,
+                  cut ? nullptr : &seen, now);
+  });
+}
+
+// A start after an end breaks the rule if the end is noted, before or later.
+void cell_world::CheckTask(const task_ref& task) {
+  const task_history& history = tasks[task];
+  const queue_settings* queue = config_->FindQueue(queue_of_[task.job]);
+  for (const time_point start : history.started_at) {
+    if (start > history.noted_done) violations.push_back("run after end " + Text(task));
+    const auto before = std::count_if(history.noted_failures.begin(), history.noted_failures.end(),
+                                      [start](time_point ended) { return ended < start; });
+    if (queue && before >= queue->max_attempts) {
+      violations.push_back("too many attempts of " + Text(task));
+    }
+  }
+}
+
+void cell_world::CheckStart(const fake_host& host, const start_task& start, const fake_run& run) {
+  task_history& history = tasks[start.task];
+  for (const auto& [name, other] : hosts) {
+    for (const auto& [key, open] : other.running) {
+      if (key.first == start.task) violations.push_back("two runs of " + Text(start.task));
+    }
+  }
+  history.started_at.push_back(now);
+  CheckTask(start.task);
+  resources taken = run.size;
+  for (const auto& [key, open] : host.running) taken += open.size;
+  if (!host.entry.capacity.Holds(taken)) {
+    violations.push_back("no room on " + host.entry.id.value + " for " + Text(start.task));
+  }
+}
+
+call_outcome cell_world::Execute(fake_host& host, const start_task& start) {
+  if (start.token < host.token) return call_outcome::kFenced;
+  host.token = start.token;
+  if (ClockOf(host) >= start.deadline_ms) return call_outcome::kLate;
+  host.lease_until_ms = std::max(host.lease_until_ms, start.deadline_ms);
+  if (host.running.contains({start.task, start.run})) return call_outcome::kDone;
+  const auto highest = host.highest_ended.find(start.task);
+  if (highest != host.highest_ended.end() && start.run <= highest->second) {
+    return call_outcome::kOldRun;
+  }
+  const step_spec* spec = SpecOf(start.task);
+  fake_run run;
+  run.token = start.token;
+  run.started = now;
+  run.ends = now + run_time(start.task, spec->run_time);
+  run.how = host.fails_all ? end_kind::kFailed : outcome(start.task, start.run);
+  run.size = spec->size;
+  if (spec->fills) run.size.cores_milli = 0;
+  CheckStart(host, start, run);
+  ++tasks[start.task].starts;
+  ++host.starts;
+  host.running[{start.task, start.run}] = run;
+  return call_outcome::kDone;
+}
+
+void cell_world::Start(const start_task& start) {
+  const std::uint64_t epoch = epoch_;
+  After(kTrip, [this, epoch, start] {
+    fake_host& host = hosts.at(start.host.value);
+    const std::int64_t born = host.entry.born;
+    if (host.late_starts > duration::zero()) {
+      After(host.late_starts, [this, start, born] {
+        fake_host& later = hosts.at(start.host.value);
+        if (later.entry.born == born) Execute(later, start);
+      });
+    }
+    const bool lost = host.cut || host.late_starts > duration::zero();
+    const call_outcome result = lost ? call_outcome::kUnknown : Execute(host, start);
+    After(lost ? kTimeout : kTrip, [this, epoch, start, result] {
+      if (epoch == epoch_ && owner) owner->OnStart(start.host, start.task, start.run, result, now);
+    });
+  });
+}
+
+void cell_world::Stop(const stop_task& stop) {
+  const std::uint64_t epoch = epoch_;
+  After(kTrip, [this, epoch, stop] {
+    fake_host& host = hosts.at(stop.host.value);
+    call_outcome result = host.cut ? call_outcome::kUnknown : call_outcome::kDone;
+    if (!host.cut && stop.token < host.token) result = call_outcome::kFenced;
+    if (result == call_outcome::kDone) {
+      const auto found = host.running.find({stop.task, stop.run});
+      if (found != host.running.end()) {
+        found->second.stopping = true;
+        found->second.ends = std::min(found->second.ends, now + kStopTime);
+      } else {
+        std::uint32_t& highest = host.highest_ended[stop.task];
+        highest = std::max(highest, stop.run);
+      }
+    }
+    After(host.cut ? kTimeout : kTrip, [this, epoch, stop, result] {
+      if (epoch == epoch_ && owner) owner->OnStop(stop.host, stop.task, stop.run, result, now);
+    });
+  });
+}
+
+void cell_world::Advise(const ask_advice& ask) {
+  ++questions;
+  most_open_questions = std::max(most_open_questions, ++open_questions);
+  After(ask.cost + kTrip, [this, epoch = epoch_, ask] {
+    --open_questions;
+    if (epoch != epoch_ || !owner) return;
+    std::vector<std::pair<host_id, std::string>> approved;
+    for (const host_id& host : ask.hosts) {
+      if (approve(ask.step, host)) approved.emplace_back(host, "ticket");
+    }
+    owner->OnAdvice(ask.question, true, approved, now);
+  });
+}
+
+}  // namespace sycamorehinge::cell::testing
--- /dev/null
+++ b/packages/cell/tests/cell_world.h
@@ -0,0 +1,158 @@
+// A scheduler among fake hosts, a fake journal and a fake policy service, on a clock that the test
+// moves. Hosts check what must never happen: more work than room, two runs of one task, a start
+// after success, and a start after the last allowed failure.
+#ifndef SYCAMOREHINGE_CELL_TESTS_CELL_WORLD_H_
+#define SYCAMOREHINGE_CELL_TESTS_CELL_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sycamorehinge/cell/scheduler.h"
+
+namespace sycamorehinge::cell::testing {
+
+using std::chrono::milliseconds;
+
+struct fake_run {
+  std::uint64_t token = 0;
+  time_point ends;
+  time_point started;
+  end_kind how = end_kind::kDone;
+  resources size;
+  bool stopping = false;
+};
+
+struct fake_host {
+  host_entry entry;
+  std::uint64_t token = 0;
+  std::map<std::pair<task_ref, std::uint32_t>, fake_run> running;
+  std::vector<end_report> ended;
+  std::map<std::uint64_t, time_point> ended_at;
+  // An end that a lapsed lease parts from its note counts as not noted.
+  time_point lapsed_at;
+  std::uint64_t next_end = 1;
+  std::map<task_ref, std::uint32_t> highest_ended;
+  std::int64_t clock_zero_ms = 0;
+  std::int64_t lease_until_ms = 0;
+  // No call reaches it, and its tasks run on.
+  bool cut = false;
+  bool fails_all = false;
+  bool stands_still = false;
+  // Starts are carried out this much later, without an answer; zero for at once.
+  duration late_starts{};
+  std::uint32_t starts = 0;
+};
+
+// What hosts saw of a task.
+struct task_history {
+  bool done = false;
+  std::set<std::uint32_t> failed;
+  std::uint32_t starts = 0;
+  std::vector<time_point> started_at;
+  // Ends that were taken note of.
+  std::vector<time_point> noted_failures;
+  time_point noted_done = time_point::max();
+};
+
+class cell_world {
+ public:
+  explicit cell_world(scheduler_options options = {}, std::uint64_t seed = 1);
+
+  // --- set-up ---
+  fake_host& AddHost(std::string name, const resources& capacity, std::string rack = "r1");
+  // A queue that needs no advice unless `advice` is given.
+  queue_settings& AddQueue(std::string name, std::uint32_t priority = 0,
+                           std::uint32_t max_attempts = 3);
+  // Puts queues and hosts in force and makes a first owner.
+  void Begin();
+  // The owner is gone without a trace; the next one reads what the journal has.
+  void ReplaceOwner();
+  void KillOwner();
+  void RestartHost(const std::string& name);
+
+  // --- callers ---
+  void Submit(job_number job, const std::string& queue, job_spec spec);
+  void Cancel(job_number job);
+  // Last answer to a submission or cancellation; kInternal if there is none yet.
+  errc AnswerTo(job_number job) const;
+  job_phase Phase(job_number job);
+  errc StateCode(job_number job);
+  std::uint64_t PendingJobs(const std::string& queue);
+
+  // --- time ---
+  void Run(duration time);
+  // False if it did not come true in time.
+  bool RunUntil(const std::function<bool()>& reached, duration limit);
+
+  time_point now;
+  std::int64_t wall_ms = 1'800'000'000'000;
+  bool journal_available = true;
+  duration journal_delay = milliseconds(5);
+  // Run time of tasks; by default the declared one.
+  std::function<duration(const task_ref&, duration declared)> run_time;
+  std::function<end_kind(const task_ref&, std::uint32_t run)> outcome;
+  // Approved hosts of a step; all by default.
+  std::function<bool(const task_ref&, const host_id&)> approve;
+  std::map<std::string, fake_host> hosts;
+  std::map<task_ref, task_history> tasks;
+  std::vector<std::string> violations;
+  std::vector<note_decision> notes;
+  std::uint32_t looks = 0;
+  std::uint32_t questions = 0;
+  std::uint32_t open_questions = 0;
+  std::uint32_t most_open_questions = 0;
+  std::unique_ptr<scheduler> owner;
+  bool stepped_down = false;
+
+  fake_host& Host(const std::string& name) { return hosts.at(name); }
+  std::uint32_t Running(job_number job) const;
+
+ private:
+  void After(duration delay, std::function<void()> task);
+  void Act();
+  void Carry(const action& next);
+  void Look(const look_host& look);
+  void AnswerLook(std::uint64_t epoch, time_point sent, const look_host& look, time_point until);
+  void Start(const start_task& start);
+  call_outcome Execute(fake_host& host, const start_task& start);
+  void Stop(const stop_task& stop);
+  void Advise(const ask_advice& ask);
+  void Store(const journal_record& record);
+  void FlushJournal();
+  void TickHosts();
+  void EndRun(fake_host& host, const std::pair<task_ref, std::uint32_t>& key, end_kind how);
+  void CheckTask(const task_ref& task);
+  void CheckStart(const fake_host& host, const start_task& start, const fake_run& run);
+  std::int64_t ClockOf(const fake_host& host) const;
+  const step_spec* SpecOf(const task_ref& task) const;
+  std::uint64_t Random();
+
+  scheduler_options options_;
+  std::uint64_t random_;
+  std::shared_ptr<fleet_config> config_ = std::make_shared<fleet_config>();
+  std::uint64_t epoch_ = 0;
+  std::multimap<time_point, std::function<void()>> events_;
+  std::map<std::string, journal_record> journal_;
+  std::vector<std::pair<std::uint64_t, journal_record>> unwritten_;
+  std::uint64_t flush_epoch_ = 0;
+  bool flushing_ = false;
+  std::map<job_number, job_spec> specs_;
+  std::map<job_number, std::string> queue_of_;
+  std::map<call_number, job_number> calls_;
+  std::map<job_number, errc> answers_;
+  std::map<call_number, answer_call> replies_;
+  call_number next_call_ = 1;
+};
+
+// A job of one step.
+job_spec OneStep(std::uint32_t count, std::int64_t cores_milli, duration run_time);
+
+}  // namespace sycamorehinge::cell::testing
+
+#endif  // SYCAMOREHINGE_CELL_TESTS_CELL_WORLD_H_
--- /dev/null
+++ b/packages/cell/tests/work_test.cc
@@ -0,0 +1,51 @@
+#include <catch2/catch.hpp>
+
+#include "cell_world.h"
+#include "sycamorehinge/cell/fleet_config.h"
+#include "sycamorehinge/cell/work.h"
+
+namespace sycamorehinge::cell {
+namespace {
+
+using testing::OneStep;
+using std::chrono::seconds;
+
+// Guards against jobs that could never end, or that cost others memory.
+TEST_CASE("A spec with steps that cannot run is malformed") {
+  CHECK(CheckSpec(OneStep(1, 1000, seconds(1))) == errc::kOk);
+  CHECK(CheckSpec({}) == errc::kMalformed);
+  CHECK(CheckSpec(OneStep(0, 1000, seconds(1))) == errc::kMalformed);
+  CHECK(CheckSpec(OneStep(kMaxTasksPerStep + 1, 1000, seconds(1))) == errc::kMalformed);
+  CHECK(CheckSpec(OneStep(1, -1, seconds(1))) == errc::kMalformed);
+  job_spec forward = OneStep(1, 1000, seconds(1));
+  forward.steps[0].after = {0};
+  CHECK(CheckSpec(forward) == errc::kMalformed);
+  forward.steps[0].after = {7};
+  CHECK(CheckSpec(forward) == errc::kMalformed);
+  job_spec many = OneStep(1, 1000, seconds(1));
+  many.occurrences = kMaxOccurrences + 1;
+  CHECK(CheckSpec(many) == errc::kMalformed);
+}
+
+// Guards against a request that reaches the queue of another prefix or host.
+TEST_CASE("The longest prefix of the host selects the queue") {
+  fleet_config config;
+  for (const auto& [name, host, prefix] : {std::tuple{"a", "x.example", "/a/"},
+                                           std::tuple{"ab", "x.example", "/a/b/"},
+                                           std::tuple{"y", "y.example", "/a/b/"}}) {
+    queue_settings queue;
+    queue.name = name;
+    queue.host = host;
+    queue.prefix = prefix;
+    config.queues.push_back(queue);
+  }
+  REQUIRE(config.Route("x.example", "/a/b/1"));
+  CHECK(config.Route("x.example", "/a/b/1")->name == "ab");
+  CHECK(config.Route("x.example", "/a/1")->name == "a");
+  CHECK(config.Route("y.example", "/a/b/1")->name == "y");
+  CHECK_FALSE(config.Route("y.example", "/a/1"));
+  CHECK_FALSE(config.Route("z.example", "/a/1"));
+}
+
+}  // namespace
+}  // namespace sycamorehinge::cell
