A run that must end keeps its task; a start on its way survives the restart of its host

Cause: found by random histories, two runs of one task: a run that a new owner had to stop did not keep its task from starting elsewhere; and a start sent to the earlier life of a host was taken for lost with it, though it reached the new life.

Change: an adopted run is bound to its task even if it is stopped; starts without an answer stay in doubt across a restart until a stop has made them impossible.

--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -24,6 +24,8 @@
 struct scheduler_options {
   // Lease that each look and start gives to all tasks of the host.
   duration lease = std::chrono::seconds(5);
+  // Longest lease that hosts grant, whatever they are asked for.
+  duration longest_lease = std::chrono::seconds(10);
   // Share by which the clocks of hosts may be slow.
   double clock_drift = 0.02;
   // Longest time that a host holds back its answer to a look.
--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -67,10 +67,17 @@
   host.unacknowledged.clear();
   host.clock_ms = 0;
   host.foreign = 0;
-  host.lease_over = now;
+  // A start on its way may reach the new life, whose clock is behind the lease that it carries.
+  host.lease_over = now + options.longest_lease;
   host.failures_in_row = 0;
-  const std::vector<run_number> lost = host.runs;
-  for (const run_number id : lost) CloseRun(id, "the host started anew");
+  const std::vector<run_number> held = host.runs;
+  for (const run_number id : held) {
+    if (runs.at(id).confirmed) {
+      CloseRun(id, "the host started anew");
+    } else {
+      Doubt(id);
+    }
+  }
   for (auto& [number, job] : jobs) {
     for (auto& [index, occurrence] : job.occurrences) {
       for (step_state& step : occurrence.steps) {
@@ -222,18 +229,18 @@
     return StopForeign(slot, report);
   }
   task_state& task = step->tasks[report.task.index];
-  const bool wanted = !task.done && task.open == kNoRun && !task.HasFailed(report.run);
+  // A run that must end still keeps its task from starting elsewhere until then.
+  const bool only = !task.done && task.open == kNoRun;
   const step_spec& spec = SpecOf(*job, report.task.step);
   const run_number id =
       OpenRun(report.task, slot, spec.size, report.run, run_phase::kRunning);
   Settle(id);
   task.unknown = false;
-  if (wanted) {
+  if (only) {
     task.open = id;
     ++step->open;
-  } else {
-    SendStop(id, "the task runs elsewhere or is done");
   }
+  if (!only || task.HasFailed(report.run)) SendStop(id, "the task needs no such run");
 }
 
 void scheduler::state::StopForeign(host_slot slot, const run_report& report) {
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -166,6 +166,7 @@
 void scheduler::state::Settle(run_number id) {
   run_state& run = runs.at(id);
   run.phase = run_phase::kRunning;
+  run.confirmed = true;
   run.settled = now;
   job_entry* job = FindJob(run.task.job);
   if (job && job->phase == job_phase::kQueued) job->phase = job_phase::kRunning;
@@ -173,13 +174,22 @@
 
 void scheduler::state::StartUnanswered(run_number id) {
   run_state& run = runs.at(id);
+  if (run.tries >= kStartTries) return Doubt(id);
   run.phase = run_phase::kUncertain;
-  if (run.tries < kStartTries) {
-    run.next_try = now + kStartRetry;
-  } else {
-    // From now on looks decide: either the run is there, or a stop makes it impossible.
-    run.settled = now;
+  run.next_try = now + kStartRetry;
+}
+
+// From now on looks decide: either the run is there, or a stop makes it impossible.
+void scheduler::state::Doubt(run_number id) {
+  run_state& run = runs.at(id);
+  if (run.phase == run_phase::kStopping) {
+    run.stop_answered = false;
+    run.next_try = now;
+    return;
   }
+  run.phase = run_phase::kUncertain;
+  run.settled = now;
+  run.next_try = time_point::max();
 }
 
 void scheduler::state::StartRefused(run_number id, call_outcome outcome) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -54,6 +54,8 @@
   // Next try of an unanswered start or stop.
   time_point next_try = time_point::max();
   bool stop_answered = false;
+  // The host has had the run.
+  bool confirmed = false;
 };
 
 struct task_state {
@@ -275,6 +277,7 @@
   void TickRuns();
   void CheckStall(run_number id);
   void Settle(run_number id);
+  void Doubt(run_number id);
   void StartUnanswered(run_number id);
   void StartRefused(run_number id, call_outcome outcome);
   run_number FindRun(host_slot slot, const task_ref& ref, std::uint32_t number) const;
--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -69,6 +69,7 @@
   options.membership.ttl = std::max(options.membership.ttl, settings.least_ttl);
   cell::scheduler_options& scheduler = options.scheduler;
   scheduler.lease = std::min(scheduler.lease, settings.longest_lease - kLeaseReserve);
+  scheduler.longest_lease = settings.longest_lease;
   scheduler.stop_timeout = settings.stop_timeout;
   scheduler.job_retention = std::max(scheduler.job_retention, settings.status_retention * 5 / 4);
   return options;
