--- a/packages/cell/include/sycamorehinge/cell/actions.h
+++ b/packages/cell/include/sycamorehinge/cell/actions.h
@@ -107,6 +107,7 @@
   kHostRestarted,
   kHostAvoided,
   kRecoveryFinished,
+  kStepWaits,
 };
 
 // A decision or a changed belief, for the log.
--- a/packages/cell/src/advice.cc
+++ b/packages/cell/src/advice.cc
@@ -188,8 +188,8 @@
   }
   if (fresh > 0) {
     double& rate = approval[job->queue].value;
-    rate += kApprovalWeight * (static_cast<double>(fresh_approved) / static_cast<double>(fresh) -
-                               rate);
+    rate +=
+        kApprovalWeight * (static_cast<double>(fresh_approved) / static_cast<double>(fresh) - rate);
   }
   // A gang takes its reserved room now or gives it back.
   const task_ref& ref = asked.step;
--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -23,8 +23,7 @@
 }  // namespace
 
 host_slot scheduler::state::SlotOf(const host_id& host) {
-  const auto [found, added] =
-      host_slots.try_emplace(host, static_cast<host_slot>(hosts.size()));
+  const auto [found, added] = host_slots.try_emplace(host, static_cast<host_slot>(hosts.size()));
   if (added) hosts.emplace_back().entry.id = host;
   return found->second;
 }
@@ -120,8 +119,7 @@
 // no longer lease: calls that it does not answer may still reach it, and its tasks must run out.
 std::int64_t scheduler::state::Deadline(host_state& host) {
   if (host.look_failures > 0) return host.deadline_ms;
-  const std::int64_t deadline =
-      host.clock_ms + ToMs(now - host.clock_read) + ToMs(options.lease);
+  const std::int64_t deadline = host.clock_ms + ToMs(now - host.clock_read) + ToMs(options.lease);
   host.deadline_ms = std::max(host.deadline_ms, deadline);
   const auto left = std::chrono::milliseconds(host.deadline_ms - host.clock_ms);
   const auto longest = std::chrono::duration_cast<duration>(left / (1 - options.clock_drift));
@@ -192,8 +190,7 @@
     Note(decision_kind::kHostUnreachable, {}, 0, host.entry.id.value,
          outcome == call_outcome::kUnreachable ? "nobody listens" : "no answer");
   }
-  const duration pause =
-      std::min(options.look_retry * host.look_failures, options.look_retry_most);
+  const duration pause = std::min(options.look_retry * host.look_failures, options.look_retry_most);
   host.next_look = now + pause;
 }
 
@@ -232,8 +229,7 @@
   // A run that must end still keeps its task from starting elsewhere until then.
   const bool only = !task.done && task.open == kNoRun;
   const step_spec& spec = SpecOf(*job, report.task.step);
-  const run_number id =
-      OpenRun(report.task, slot, spec.size, report.run, run_phase::kRunning);
+  const run_number id = OpenRun(report.task, slot, spec.size, report.run, run_phase::kRunning);
   Settle(id);
   task.unknown = false;
   if (only) {
@@ -254,9 +250,9 @@
 void scheduler::state::DropLapsedRuns(host_slot slot) {
   host_state& host = hosts[slot];
   const time_point over =
-      host.looked ? host.lease_over
-                  : std::max(host.lease_over, term_began + kOldOwnerSlack + kLeaseSlack +
-                                                  options.lease);
+      host.looked
+          ? host.lease_over
+          : std::max(host.lease_over, term_began + kOldOwnerSlack + kLeaseSlack + options.lease);
   if (host.look_failures == 0 || now < over) return;
   const std::vector<run_number> lost = host.runs;
   for (const run_number id : lost) {
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -11,6 +11,8 @@
 
 // Passes are spread out when much work waits, so that they leave time for everything else.
 constexpr duration kPassPause = std::chrono::milliseconds(2);
+// Waiting steps are explained in the log after this time, and again as often.
+constexpr duration kExplainAfter = std::chrono::seconds(5);
 constexpr duration kPassPausePerStep = std::chrono::microseconds(60);
 
 std::int64_t TimesInto(std::int64_t free, std::int64_t size) {
@@ -68,8 +70,7 @@
   if (!pass_needed || !owner || !may_start || now < next_pass) return;
   if (durable < term_sequence) return;
   pass_needed = false;
-  next_pass = now + kPassPause +
-              kPassPausePerStep * static_cast<std::int64_t>(waiting.size());
+  next_pass = now + kPassPause + kPassPausePerStep * static_cast<std::int64_t>(waiting.size());
   MeasureRoom();
   std::vector<waiting_key> keys;
   for (const waiting_key& key : waiting) {
@@ -93,13 +94,37 @@
   } else {
     PlaceTasks(ref, *job, *step);
   }
-  const bool left = std::any_of(step->tasks.begin(), step->tasks.end(), [](const auto& task) {
-    return !task.done && task.open == kNoRun;
-  });
-  if (!left) {
-    ReleaseKept(*step);
-    Dequeue(key, *step);
+  const bool left = std::any_of(step->tasks.begin(), step->tasks.end(),
+                                [](const auto& task) { return !task.done && task.open == kNoRun; });
+  if (left) return ExplainWait(ref, *job, *step);
+  ReleaseKept(*step);
+  Dequeue(key, *step);
+}
+
+void scheduler::state::ExplainWait(const task_ref& ref, job_entry& job, step_state& step) {
+  if (now - std::max(step.ready_since, step.explained) < kExplainAfter) return;
+  step.explained = now;
+  Note(decision_kind::kStepWaits, ref, 1, {}, WhyWaiting(ref, job, step), now - step.ready_since);
+}
+
+std::string_view scheduler::state::WhyWaiting(const task_ref& ref, job_entry& job,
+                                              const step_state& step) const {
+  const demand wanted = DemandOf(ref, job, step);
+  const auto unknown = [](const task_state& task) { return task.unknown; };
+  if (std::any_of(step.tasks.begin(), step.tasks.end(), unknown)) return "hosts not looked at";
+  if (wanted.spec->gang && step.open > 0) return "members of the last run have not ended";
+  if (step.question != 0) return "the policy service is asked";
+  std::uint32_t room = 0;
+  std::uint32_t approved_room = 0;
+  for (host_slot slot = 0; slot < hosts.size(); ++slot) {
+    const std::uint32_t copies = FitCount(wanted, slot, true);
+    room += copies;
+    if (IsApproved(step, slot)) approved_room += copies;
   }
+  const std::size_t needed = wanted.spec->gang ? step.tasks.size() : 1;
+  if (room < needed) return "no room";
+  if (wanted.Advised() && approved_room < needed) return "no room on approved hosts";
+  return wanted.Advised() ? "no question to the policy service is free" : "not decided yet";
 }
 
 std::vector<std::uint32_t> scheduler::state::WaitingTasks(const step_state& step) const {
@@ -299,9 +324,8 @@
 void scheduler::state::KeepHostsFor(const demand& wanted) {
   const step_state& step = *wanted.step;
   if (!step.reserved.empty() || now - step.ready_since < options.reserve_after) return;
-  const bool kept = std::any_of(hosts.begin(), hosts.end(), [](const host_state& host) {
-    return host.kept_for != nullptr;
-  });
+  const bool kept = std::any_of(hosts.begin(), hosts.end(),
+                                [](const host_state& host) { return host.kept_for != nullptr; });
   if (kept) return;
   std::vector<std::tuple<std::int64_t, host_slot, std::uint32_t>> candidates;
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -142,8 +142,7 @@
     run.stop_answered = false;
   }
   run.next_try = now + kStopRetry;
-  actions.emplace_back(
-      stop_task{host.entry.id, host.entry.address, token, run.task, run.number});
+  actions.emplace_back(stop_task{host.entry.id, host.entry.address, token, run.task, run.number});
 }
 
 void scheduler::state::OnStart(host_slot slot, const task_ref& ref, std::uint32_t number,
@@ -222,7 +221,9 @@
     return;
   }
   const run_number id = FindRun(slot, ref, number);
-  if (id == kNoRun || outcome != call_outcome::kDone) return;
+  // A host that knows the run as an old one has stopped it for good.
+  const bool answered = outcome == call_outcome::kDone || outcome == call_outcome::kOldRun;
+  if (id == kNoRun || !answered) return;
   run_state& run = runs.at(id);
   if (run.phase != run_phase::kStopping || run.stop_answered) return;
   run.stop_answered = true;
@@ -268,8 +269,8 @@
 void scheduler::state::OnEnd(host_slot slot, const end_report& end) {
   const run_number id = FindRun(slot, end.task, end.run);
   const duration took = id == kNoRun ? duration() : now - runs.at(id).started;
-  Note(decision_kind::kTaskEnded, end.task, end.run, hosts[slot].entry.id.value,
-       ToString(end.how), took);
+  Note(decision_kind::kTaskEnded, end.task, end.run, hosts[slot].entry.id.value, ToString(end.how),
+       took);
   job_entry* job = FindJob(end.task.job);
   step_state* step = FindStep(end.task);
   if (!job || !step || end.task.index >= step->tasks.size()) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -86,6 +86,8 @@
   std::uint32_t open = 0;
   bool waiting = false;
   time_point ready_since;
+  // Last time that the log was told why it waits.
+  time_point explained;
   // By host slot.
   std::vector<host_verdict> verdicts;
   std::uint64_t question = 0;
@@ -285,6 +287,8 @@
   // --- placement (placement.cc) ---
   void Pass();
   void MeasureRoom();
+  void ExplainWait(const task_ref& ref, job_entry& job, step_state& step);
+  std::string_view WhyWaiting(const task_ref& ref, job_entry& job, const step_state& step) const;
   void TryPlace(const waiting_key& key);
   void PlaceTasks(const task_ref& ref, job_entry& job, step_state& step);
   void PlaceGang(const task_ref& ref, job_entry& job, step_state& step);
--- a/packages/cell/tests/cell_world.cc
+++ b/packages/cell/tests/cell_world.cc
@@ -24,8 +24,8 @@
 }
 
 bool Removes(const journal_record& record) {
-  return std::holds_alternative<retire_job>(record) ||
-         std::holds_alternative<forget_job>(record) || std::holds_alternative<forget_host>(record);
+  return std::holds_alternative<retire_job>(record) || std::holds_alternative<forget_job>(record) ||
+         std::holds_alternative<forget_host>(record);
 }
 
 std::string Text(const task_ref& task) {
@@ -175,8 +175,7 @@
                         },
                         [&](const look_host& look) { Look(look); },
                         [&](const start_task& start) { Start(start); },
-                        [&](const stop_task& stop) { Stop(stop); },
-                        [](const pace_task&) {},
+                        [&](const stop_task& stop) { Stop(stop); }, [](const pace_task&) {},
                         [&](const ask_advice& ask) { Advise(ask); },
                         [&](const step_down&) { stepped_down = true; },
                         [&](const note_decision& note) { notes.push_back(note); }},
@@ -346,7 +345,8 @@
     run_report report{key.first, key.second, {}, 0, 0};
     const duration total = std::max<duration>(run.ends - run.started, milliseconds(1));
     const auto percent = (now - run.started) * 100 / total;
-    if (!host.stands_still) report.percent = static_cast<std::uint32_t>(std::min<long>(percent, 99));
+    if (!host.stands_still)
+      report.percent = static_cast<std::uint32_t>(std::min<long>(percent, 99));
     seen.running.push_back(report);
   }
   const bool cut = host.cut;
--- a/packages/cell/tests/model_test.cc
+++ b/packages/cell/tests/model_test.cc
@@ -53,9 +53,9 @@
 
   void SubmitSome() {
     const job_number job = next_job_++;
-    job_spec spec = OneStep(1 + static_cast<std::uint32_t>(Random(4)),
-                            1000 + 500 * static_cast<int>(Random(8)),
-                            milliseconds(200 + 100 * Random(15)));
+    job_spec spec =
+        OneStep(1 + static_cast<std::uint32_t>(Random(4)), 1000 + 500 * static_cast<int>(Random(8)),
+                milliseconds(200 + 100 * Random(15)));
     spec.steps[0].gang = Random(3) == 0;
     if (Random(3) == 0) {
       spec.steps.push_back(spec.steps[0]);
--- a/packages/cell/tests/work_test.cc
+++ b/packages/cell/tests/work_test.cc
@@ -1,14 +1,15 @@
+#include "sycamorehinge/cell/work.h"
+
 #include <catch2/catch.hpp>
 
 #include "cell_world.h"
 #include "sycamorehinge/cell/fleet_config.h"
-#include "sycamorehinge/cell/work.h"
 
 namespace sycamorehinge::cell {
 namespace {
 
-using testing::OneStep;
 using std::chrono::seconds;
+using testing::OneStep;
 
 // Guards against jobs that could never end, or that cost others memory.
 TEST_CASE("A spec with steps that cannot run is malformed") {
@@ -30,9 +31,9 @@
 // Guards against a request that reaches the queue of another prefix or host.
 TEST_CASE("The longest prefix of the host selects the queue") {
   fleet_config config;
-  for (const auto& [name, host, prefix] : {std::tuple{"a", "x.example", "/a/"},
-                                           std::tuple{"ab", "x.example", "/a/b/"},
-                                           std::tuple{"y", "y.example", "/a/b/"}}) {
+  for (const auto& [name, host, prefix] :
+       {std::tuple{"a", "x.example", "/a/"}, std::tuple{"ab", "x.example", "/a/b/"},
+        std::tuple{"y", "y.example", "/a/b/"}}) {
     queue_settings queue;
     queue.name = name;
     queue.host = host;
--- a/packages/control/include/sycamorehinge/control/calls.h
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -36,8 +36,7 @@
   cell::task_ref step;
   std::vector<host_id> hosts;
 };
-using peer_call =
-    std::variant<submit_call, cancel_call, state_call, pending_call, advice_call>;
+using peer_call = std::variant<submit_call, cancel_call, state_call, pending_call, advice_call>;
 
 // Who owns a cell. A higher epoch is newer.
 struct owner_info {
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -67,9 +67,8 @@
     reply.phase = answer->phase;
     reply.pending = answer->pending;
     reply.retry_after = answer->retry_after;
-    out.push_back({s.epoch, std::nullopt, [reply, call = std::move(found->second)] {
-                     call(reply);
-                   }});
+    out.push_back(
+        {s.epoch, std::nullopt, [reply, call = std::move(found->second)] { call(reply); }});
     s.calls.erase(found);
   }
   s.actions.clear();
@@ -79,23 +78,21 @@
   if (item.run) item.run();
   if (!item.what) return;
   const std::uint64_t epoch = item.epoch;
-  std::visit(overloaded{[&](const cell::write_record& write) {
-                          const auto journal = state_.View([&](const state& s) {
-                            return s.epoch == epoch ? s.journal : nullptr;
-                          });
-                          if (journal) journal->Add(write.sequence, write.record);
-                        },
-                        [&](const cell::look_host& look) { Look(epoch, look); },
-                        [&](const cell::start_task& start) { Start(epoch, start); },
-                        [&](const cell::stop_task& stop) { Stop(epoch, stop); },
-                        [&](const cell::pace_task& pace) {
-                          port_.pace(pace, [](cell::call_outcome) {});
-                        },
-                        [&](const cell::ask_advice& ask) { Ask(epoch, ask); },
-                        [&](const cell::step_down&) { Lose(epoch, "fenced by a host"); },
-                        [&](const cell::note_decision& note) { log_.Write(note); },
-                        [](const cell::answer_call&) {}},
-             *item.what);
+  std::visit(
+      overloaded{[&](const cell::write_record& write) {
+                   const auto journal = state_.View(
+                       [&](const state& s) { return s.epoch == epoch ? s.journal : nullptr; });
+                   if (journal) journal->Add(write.sequence, write.record);
+                 },
+                 [&](const cell::look_host& look) { Look(epoch, look); },
+                 [&](const cell::start_task& start) { Start(epoch, start); },
+                 [&](const cell::stop_task& stop) { Stop(epoch, stop); },
+                 [&](const cell::pace_task& pace) { port_.pace(pace, [](cell::call_outcome) {}); },
+                 [&](const cell::ask_advice& ask) { Ask(epoch, ask); },
+                 [&](const cell::step_down&) { Lose(epoch, "fenced by a host"); },
+                 [&](const cell::note_decision& note) { log_.Write(note); },
+                 [](const cell::answer_call&) {}},
+      *item.what);
 }
 
 void cell_owner::OnMembers(const std::vector<member_info>& members, bool preferred,
@@ -174,10 +171,9 @@
 }
 
 void cell_owner::LoadJournal(std::uint64_t epoch, std::string after) {
-  port_.read(stream_name::kJournal, from_newest{after},
-             [this, epoch, after](const result<stream_page>& page) {
-               OnJournalPage(epoch, page, after);
-             });
+  port_.read(
+      stream_name::kJournal, from_newest{after},
+      [this, epoch, after](const result<stream_page>& page) { OnJournalPage(epoch, page, after); });
 }
 
 void cell_owner::OnJournalPage(std::uint64_t epoch, const result<stream_page>& page,
@@ -214,9 +210,7 @@
   handlers.on_snapshot = [this, epoch](const std::vector<stream_record>& records) {
     OnHosts(epoch, records);
   };
-  handlers.on_change = [this, epoch](const stream_record& record) {
-    OnHostChange(epoch, record);
-  };
+  handlers.on_change = [this, epoch](const stream_record& record) { OnHostChange(epoch, record); };
   handlers.on_availability = [this](bool available) {
     log_.Write(available ? event_number::kStoreAvailable : event_number::kStoreUnavailable,
                {{"stream", "hosts"}});
@@ -293,9 +287,8 @@
   s.listed.clear();
   // These calls may have reached the journal.
   for (auto& [number, reply] : std::exchange(s.calls, {})) {
-    out.push_back({epoch, std::nullopt, [reply = std::move(reply)] {
-                     reply(Refusal(errc::kOutcomeUnknown));
-                   }});
+    out.push_back({epoch, std::nullopt,
+                   [reply = std::move(reply)] { reply(Refusal(errc::kOutcomeUnknown)); }});
   }
   out.push_back({epoch, std::nullopt, hooks_.on_lost});
 }
@@ -317,8 +310,8 @@
 void cell_owner::Call(const peer_call& call, peer_reply reply) {
   Change([&](state& s, effects& out) {
     if (s.now != phase::kActive) {
-      out.push_back({s.epoch, std::nullopt,
-                     [reply = std::move(reply)] { reply(Refusal(errc::kNotOwner)); }});
+      out.push_back(
+          {s.epoch, std::nullopt, [reply = std::move(reply)] { reply(Refusal(errc::kNotOwner)); }});
       return;
     }
     const cell::call_number number = s.next_call++;
@@ -372,23 +365,22 @@
 void cell_owner::LogStatus(state& s) {
   s.status_logged = port_.now();
   const cell::scheduler_summary now = s.scheduler->Summary();
-  log_.Write(event_number::kCellStatus,
-             {{"epoch", s.epoch},
-              {"open_jobs", std::uint64_t{now.open_jobs}},
-              {"waiting_steps", std::uint64_t{now.waiting_steps}},
-              {"questions", std::uint64_t{now.questions}},
-              {"runs", std::uint64_t{now.runs}},
-              {"hosts", std::uint64_t{now.hosts}},
-              {"unreachable", std::uint64_t{now.unreachable_hosts}},
-              {"kept", std::uint64_t{now.kept_hosts}},
-              {"cores_milli", now.capacity.cores_milli},
-              {"taken_milli", now.taken.cores_milli}});
+  log_.Write(event_number::kCellStatus, {{"epoch", s.epoch},
+                                         {"open_jobs", std::uint64_t{now.open_jobs}},
+                                         {"waiting_steps", std::uint64_t{now.waiting_steps}},
+                                         {"questions", std::uint64_t{now.questions}},
+                                         {"runs", std::uint64_t{now.runs}},
+                                         {"hosts", std::uint64_t{now.hosts}},
+                                         {"unreachable", std::uint64_t{now.unreachable_hosts}},
+                                         {"kept", std::uint64_t{now.kept_hosts}},
+                                         {"cores_milli", now.capacity.cores_milli},
+                                         {"taken_milli", now.taken.cores_milli}});
 }
 
 void cell_owner::Look(std::uint64_t epoch, const cell::look_host& look) {
   const time_point sent = port_.now();
   port_.look(look, [this, epoch, host = look.host, sent](cell::call_outcome outcome,
-                                                          const cell::host_look* seen) {
+                                                         const cell::host_look* seen) {
     Schedule(epoch, [&](cell::scheduler& scheduler) {
       scheduler.OnLook(host, sent, outcome, seen, port_.now());
     });
@@ -424,8 +416,8 @@
   const member_info& member = *chosen;
   const duration timeout = ask.cost * 2 + options_.advice_slack;
   const time_point sent = port_.now();
-  const auto done = [this, epoch, question = ask.question, name = member.name, sent](
-                        const result<std::vector<approved_host>>& outcome) {
+  const auto done = [this, epoch, question = ask.question, name = member.name,
+                     sent](const result<std::vector<approved_host>>& outcome) {
     if (!outcome) {
       log_.Write(event_number::kAdviceUnanswered, {{"member", name},
                                                    {"cause", ErrorName(outcome.code())},
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -20,15 +20,13 @@
 template <class Archive>
 void serialize(Archive& archive, step_spec& value) {
   Fields(archive, value.count, value.size.cores_milli, value.size.memory_mb,
-         value.size.accelerators, value.run_time, value.after, value.gang,
-         value.same_rack, value.checkpoints, value.speculative, value.long_running, value.fills,
-         value.label, value.rack, value.spread_limit, value.image, value.latency_target,
-         value.may_miss);
+         value.size.accelerators, value.run_time, value.after, value.gang, value.same_rack,
+         value.checkpoints, value.speculative, value.long_running, value.fills, value.label,
+         value.rack, value.spread_limit, value.image, value.latency_target, value.may_miss);
 }
 template <class Archive>
 void serialize(Archive& archive, job_spec& value) {
-  Fields(archive, value.payload, value.steps, value.occurrences, value.first_ms,
-         value.interval_ms);
+  Fields(archive, value.payload, value.steps, value.occurrences, value.first_ms, value.interval_ms);
 }
 template <class Archive>
 void serialize(Archive& archive, term_record& value) {
@@ -164,30 +162,28 @@
 result<peer_answer> DecodeAnswer(std::string_view bytes) { return Decode<peer_answer>(bytes); }
 
 void AppendEncoded(const cell::journal_record& record, std::vector<stream_record>& out) {
-  std::visit(
-      overloaded{
-          [&](const cell::term_record& row) {
-            out.push_back({std::string(1, kTermKey), Encode(row)});
-          },
-          [&](const cell::accepted_record& row) {
-            out.push_back({JobKey(kAcceptedKey, row.job), Encode(row)});
-          },
-          [&](const cell::progress_record& row) {
-            out.push_back({JobKey(kProgressKey, row.job), Encode(row)});
-          },
-          [&](const cell::retire_job& row) {
-            out.push_back({JobKey(kAcceptedKey, row.job), std::nullopt});
-          },
-          [&](const cell::forget_job& row) {
-            out.push_back({JobKey(kProgressKey, row.job), std::nullopt});
-          },
-          [&](const cell::host_record& row) {
-            out.push_back({kHostKey + row.host.value, Encode(row)});
-          },
-          [&](const cell::forget_host& row) {
-            out.push_back({kHostKey + row.host.value, std::nullopt});
-          }},
-      record);
+  std::visit(overloaded{[&](const cell::term_record& row) {
+                          out.push_back({std::string(1, kTermKey), Encode(row)});
+                        },
+                        [&](const cell::accepted_record& row) {
+                          out.push_back({JobKey(kAcceptedKey, row.job), Encode(row)});
+                        },
+                        [&](const cell::progress_record& row) {
+                          out.push_back({JobKey(kProgressKey, row.job), Encode(row)});
+                        },
+                        [&](const cell::retire_job& row) {
+                          out.push_back({JobKey(kAcceptedKey, row.job), std::nullopt});
+                        },
+                        [&](const cell::forget_job& row) {
+                          out.push_back({JobKey(kProgressKey, row.job), std::nullopt});
+                        },
+                        [&](const cell::host_record& row) {
+                          out.push_back({kHostKey + row.host.value, Encode(row)});
+                        },
+                        [&](const cell::forget_host& row) {
+                          out.push_back({kHostKey + row.host.value, std::nullopt});
+                        }},
+             record);
 }
 
 result<cell::journal_record> DecodeJournal(std::string_view key, std::string_view value) {
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -32,10 +32,10 @@
                  }),
         group(std::make_shared<membership>(
             port, options.membership, options.self,
-            membership_handlers{[this](const std::vector<member_info>& members, bool preferred,
-                                       time_point asked) {
-              OnMembers(members, preferred, asked);
-            }})) {}
+            membership_handlers{
+                [this](const std::vector<member_info>& members, bool preferred, time_point asked) {
+                  OnMembers(members, preferred, asked);
+                }})) {}
 
   front_options FrontOptions() const {
     front_options chosen;
--- a/packages/control/src/decision_log.cc
+++ b/packages/control/src/decision_log.cc
@@ -40,6 +40,8 @@
       return event_number::kCellHostAvoided;
     case decision_kind::kRecoveryFinished:
       return event_number::kRecoveryFinished;
+    case decision_kind::kStepWaits:
+      return event_number::kCellStepWaits;
   }
   return event_number::kRecoveryFinished;
 }
@@ -62,11 +64,10 @@
 
 void decision_log::Write(const cell::note_decision& decision) const {
   const std::string subject = SubjectOf(decision);
-  Write(EventOf(decision.kind),
-        {{"subject", std::string_view(subject)},
-         {"host", std::string_view(decision.host)},
-         {"cause", std::string_view(decision.cause)},
-         {"after_ms", std::int64_t{decision.age.count() / 1000}}});
+  Write(EventOf(decision.kind), {{"subject", std::string_view(subject)},
+                                 {"host", std::string_view(decision.host)},
+                                 {"cause", std::string_view(decision.cause)},
+                                 {"after_ms", std::int64_t{decision.age.count() / 1000}}});
 }
 
 void decision_log::Write(event_number number, std::initializer_list<event_field> fields) const {
--- a/packages/control/src/front.cc
+++ b/packages/control/src/front.cc
@@ -92,9 +92,8 @@
 }
 
 void front::RetryLater(std::uint64_t id, effects& out) {
-  out.push_back([this, id] {
-    port_.at(port_.now() + options_.retry_pause, [this, id] { Retry(id); });
-  });
+  out.push_back(
+      [this, id] { port_.at(port_.now() + options_.retry_pause, [this, id] { Retry(id); }); });
 }
 
 void front::Retry(std::uint64_t id) {
@@ -117,9 +116,8 @@
 
 void front::Finish(table& state, std::uint64_t id, peer_answer answer, effects& out) {
   const auto found = state.calls.find(id);
-  out.push_back([reply = std::move(found->second.reply), answer = std::move(answer)] {
-    reply(answer);
-  });
+  out.push_back(
+      [reply = std::move(found->second.reply), answer = std::move(answer)] { reply(answer); });
   state.calls.erase(found);
 }
 
--- a/packages/control/src/journal_writer.cc
+++ b/packages/control/src/journal_writer.cc
@@ -18,10 +18,9 @@
     : port_(port), options_(std::move(options)), epoch_(epoch), handlers_(std::move(handlers)) {}
 
 void journal_writer::Fence(std::function<void(errc)> done) {
-  port_.append(stream_name::kJournal, append_guard{options_.producer, epoch_, 0}, {},
-               [done = std::move(done)](const result<std::uint64_t>& outcome) {
-                 done(outcome.code());
-               });
+  port_.append(
+      stream_name::kJournal, append_guard{options_.producer, epoch_, 0}, {},
+      [done = std::move(done)](const result<std::uint64_t>& outcome) { done(outcome.code()); });
 }
 
 void journal_writer::Add(std::uint64_t sequence, const cell::journal_record& record) {
--- a/packages/entry/src/peer_calls.cc
+++ b/packages/entry/src/peer_calls.cc
@@ -26,10 +26,10 @@
   return [&node](const http_request& request, http_server::reply_function reply) {
     result<control::peer_call> call = control::DecodeCall(request.body);
     if (!call) return reply(ErrorResponse(call.code()));
-    node.OnPeerCall(std::move(*call), [reply = std::move(reply)](
-                                          const control::peer_answer& answer) {
-      reply({200, {}, control::EncodeAnswer(answer)});
-    });
+    node.OnPeerCall(std::move(*call),
+                    [reply = std::move(reply)](const control::peer_answer& answer) {
+                      reply({200, {}, control::EncodeAnswer(answer)});
+                    });
   };
 }
 
--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -115,13 +115,11 @@
     hosts_.Pace(pace, std::move(done));
   };
   port.advise = [this](const cell::task_ref& step, const std::vector<host_id>& hosts,
-                       duration timeout, auto done) {
-    hosts_.Advise(step, hosts, timeout, std::move(done));
-  };
+                       duration timeout,
+                       auto done) { hosts_.Advise(step, hosts, timeout, std::move(done)); };
   port.call_peer = [this](std::string_view address, const control::peer_call& call,
-                          duration timeout, auto done) {
-    CallPeer(http_, address, call, timeout, std::move(done));
-  };
+                          duration timeout,
+                          auto done) { CallPeer(http_, address, call, timeout, std::move(done)); };
   return port;
 }
 
--- a/packages/telemetry/include/sycamorehinge/telemetry/events.h
+++ b/packages/telemetry/include/sycamorehinge/telemetry/events.h
@@ -108,6 +108,7 @@
   kCellTaskLost,
   kCellTaskStopped,
   kCellStartFailed,
+  kCellStepWaits,
   // Beliefs about hosts of the cell.
   kCellHostFound = 8201,
   kCellHostGone,
--- a/packages/telemetry/src/event_catalogue.cc
+++ b/packages/telemetry/src/event_catalogue.cc
@@ -183,6 +183,8 @@
     event_row{kCellTaskStopped, kInfo, "task_stopped", "a host was told to stop a run", "none"},
     event_row{kCellStartFailed, kWarning, "start_failed",
               "a host refused a start or did not answer it", "check the host if it repeats"},
+    event_row{kCellStepWaits, kInfo, "step_waits",
+              "a step has waited for long; the field cause tells for what", "none"},
     event_row{kCellHostFound, kInfo, "host_found", "the list names a host", "none"},
     event_row{kCellHostGone, kInfo, "host_gone", "the list does not name the host any more",
               "none"},
