--- a/packages/cell/src/advice.cc
+++ b/packages/cell/src/advice.cc
@@ -79,6 +79,7 @@
   const auto chosen = ChooseGangHosts(wanted, false);
   if (chosen.empty()) return AskUnknown(ref, wanted, step);
   std::vector<host_slot> slots;
+  slots.reserve(chosen.size());
   for (const auto& [slot, count] : chosen) slots.push_back(slot);
   if (!Ask(ref, wanted, step, std::move(slots), members)) return;
   Unreserve(step, *wanted.spec);
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -61,12 +61,11 @@
                           }
                         },
                         [&](host_record& row) {
-                          host_entry entry;
-                          entry.id = row.host;
-                          entry.address = std::move(row.address);
-                          entry.service = std::move(row.service);
-                          hosts[SlotOf(row.host)].entry = std::move(entry);
-                          hosts[SlotOf(row.host)].journaled = true;
+                          host_state& host = hosts[SlotOf(row.host)];
+                          host.journaled = true;
+                          if (host.listed) return;
+                          host.entry.address = std::move(row.address);
+                          host.entry.service = std::move(row.service);
                         },
                         [](const auto&) {}},
              record);
--- a/packages/cell/src/journal.cc
+++ b/packages/cell/src/journal.cc
@@ -62,11 +62,11 @@
   return moved;
 }
 
-void scheduler::state::Answer(answer_call answer, std::uint64_t after) {
+void scheduler::state::Answer(const answer_call& answer, std::uint64_t after) {
   if (after <= durable) {
-    actions.emplace_back(std::move(answer));
+    actions.emplace_back(answer);
   } else {
-    gated_answers.emplace_back(after, std::move(answer));
+    gated_answers.emplace_back(after, answer);
   }
 }
 
@@ -74,7 +74,7 @@
   if (upto <= durable) return;
   durable = upto;
   while (!gated_answers.empty() && gated_answers.front().first <= durable) {
-    actions.emplace_back(std::move(gated_answers.front().second));
+    actions.emplace_back(gated_answers.front().second);
     gated_answers.pop_front();
   }
   while (!gated_jobs.empty() && gated_jobs.front().first <= durable) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -234,7 +234,7 @@
   void MarkDirty(job_number number, job_entry& job);
   void WriteDirtyJobs();
   bool ReleaseEnds(host_state& host);
-  void Answer(answer_call answer, std::uint64_t after);
+  void Answer(const answer_call& answer, std::uint64_t after);
   void Durable(std::uint64_t upto);
   void Note(decision_kind kind, const task_ref& task, std::uint32_t run, std::string_view host,
             std::string_view cause, duration age = {});
--- a/packages/cell/tests/cell_world.cc
+++ b/packages/cell/tests/cell_world.cc
@@ -59,7 +59,8 @@
   return random_ >> 33;
 }
 
-fake_host& cell_world::AddHost(std::string name, const resources& capacity, std::string rack) {
+fake_host& cell_world::AddHost(const std::string& name, const resources& capacity,
+                               const std::string& rack) {
   fake_host& host = hosts[name];
   host.entry.id.value = name;
   host.entry.address = name;
--- a/packages/cell/tests/cell_world.h
+++ b/packages/cell/tests/cell_world.h
@@ -65,7 +65,8 @@
   explicit cell_world(scheduler_options options = {}, std::uint64_t seed = 1);
 
   // --- set-up ---
-  fake_host& AddHost(std::string name, const resources& capacity, std::string rack = "r1");
+  fake_host& AddHost(const std::string& name, const resources& capacity,
+                     const std::string& rack = "r1");
   // A queue that needs no advice unless `advice` is given.
   queue_settings& AddQueue(std::string name, std::uint32_t priority = 0,
                            std::uint32_t max_attempts = 3);
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -160,7 +160,12 @@
     if (code == errc::kOk) {
       s.now = phase::kLoading;
       s.scheduler = std::make_unique<cell::scheduler>(options_.scheduler);
-      out.push_back({epoch, std::nullopt, [this, epoch] { LoadJournal(epoch, {}); }});
+      s.journal_read = false;
+      s.hosts_read = false;
+      out.push_back({epoch, std::nullopt, [this, epoch] {
+                       LoadJournal(epoch, {});
+                       LoadHosts(epoch);
+                     }});
       return;
     }
     // Another try follows with the next membership.
@@ -170,7 +175,7 @@
   });
 }
 
-void cell_owner::LoadJournal(std::uint64_t epoch, std::string after) {
+void cell_owner::LoadJournal(std::uint64_t epoch, const std::string& after) {
   port_.read(
       stream_name::kJournal, from_newest{after},
       [this, epoch, after](const result<stream_page>& page) { OnJournalPage(epoch, page, after); });
@@ -201,7 +206,11 @@
   });
   if (!going_on) return;
   if (page->more && !page->records.empty()) return LoadJournal(epoch, page->records.back().key);
-  LoadHosts(epoch);
+  Change([&](state& s, effects& out) {
+    if (s.now != phase::kLoading || s.epoch != epoch) return;
+    s.journal_read = true;
+    if (s.hosts_read) Activate(s, out);
+  });
 }
 
 void cell_owner::LoadHosts(std::uint64_t epoch) {
@@ -227,21 +236,26 @@
   Change([&](state& s, effects& out) {
     if (s.epoch != epoch || !s.scheduler) return;
     SetHosts(s, records);
-    if (s.now != phase::kLoading) return;
-    s.now = phase::kActive;
-    s.last_tick = port_.now();
-    if (s.config) s.scheduler->SetConfig(s.config);
-    s.scheduler->SetAdviceMachines(s.members);
-    s.scheduler->BeginTerm(s.scheduler->LoadedTerm() + 1, epoch, s.last_tick, port_.wall_ms());
-    log_.Write(event_number::kCellAcquired,
-               {{"epoch", epoch}, {"term", s.scheduler->LoadedTerm() + 1}});
-    out.push_back({epoch, std::nullopt, [this, epoch] {
-                     hooks_.on_owned({epoch, options_.self.address});
-                     ScheduleTick(epoch);
-                   }});
+    s.hosts_read = true;
+    if (s.now == phase::kLoading && s.journal_read) Activate(s, out);
   });
 }
 
+// The journal and the list of hosts are read: the scheduler begins to act.
+void cell_owner::Activate(state& s, effects& out) {
+  s.now = phase::kActive;
+  s.last_tick = port_.now();
+  if (s.config) s.scheduler->SetConfig(s.config);
+  s.scheduler->SetAdviceMachines(s.members);
+  const std::uint64_t term = s.scheduler->LoadedTerm() + 1;
+  s.scheduler->BeginTerm(term, s.epoch, s.last_tick, port_.wall_ms());
+  log_.Write(event_number::kCellAcquired, {{"epoch", s.epoch}, {"term", term}});
+  out.push_back({s.epoch, std::nullopt, [this, epoch = s.epoch] {
+                   hooks_.on_owned({epoch, options_.self.address});
+                   ScheduleTick(epoch);
+                 }});
+}
+
 void cell_owner::SetHosts(state& s, const std::vector<stream_record>& records) {
   std::vector<host_id> gone = std::exchange(s.listed, {});
   for (const stream_record& record : records) {
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -59,6 +59,9 @@
     std::shared_ptr<journal_writer> journal;
     std::shared_ptr<stream_follower> hosts;
     std::vector<host_id> listed;
+    // Parts of loading that are done.
+    bool journal_read = false;
+    bool hosts_read = false;
     std::unordered_map<cell::call_number, peer_reply> calls;
     cell::call_number next_call = 1;
     advice_router advice;
@@ -85,12 +88,13 @@
   void OnClaimed(std::uint64_t claim, const result<std::uint64_t>& offset);
   void Begin(state& s, std::uint64_t epoch, effects& out);
   void OnFenced(std::uint64_t epoch, errc code);
-  void LoadJournal(std::uint64_t epoch, std::string after);
+  void LoadJournal(std::uint64_t epoch, const std::string& after);
   void OnJournalPage(std::uint64_t epoch, const result<stream_page>& page,
                      const std::string& after);
   void LoadHosts(std::uint64_t epoch);
   void OnHosts(std::uint64_t epoch, const std::vector<stream_record>& records);
   void OnHostChange(std::uint64_t epoch, const stream_record& record);
+  void Activate(state& s, effects& out);
   void SetHosts(state& s, const std::vector<stream_record>& records);
   void SetHost(state& s, const stream_record& record);
   void StepDown(state& s, std::uint64_t epoch, std::string_view cause, effects& out);
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -58,7 +58,7 @@
     entrance.LearnOwner({record.offset + 1, *record.value});
   }
   std::shared_ptr<stream_follower> Follow(stream_name stream, std::string_view label,
-                                          std::function<void(const stream_record&)> handle) {
+                                          const std::function<void(const stream_record&)>& handle) {
     follower_handlers handlers;
     handlers.on_snapshot = [handle](const std::vector<stream_record>& records) {
       for (const stream_record& record : records) handle(record);
--- /dev/null
+++ b/packages/control/tests/codec_test.cc
@@ -0,0 +1,141 @@
+#include <catch2/catch.hpp>
+
+#include "sycamorehinge/control/calls.h"
+#include "sycamorehinge/control/journal_codec.h"
+
+namespace sycamorehinge::control {
+namespace {
+
+cell::job_spec Sample() {
+  cell::job_spec spec;
+  spec.payload = std::string("text\0more", 9);
+  cell::step_spec step;
+  step.count = 3;
+  step.size = {2500, 1024, 1, 0};
+  step.after = {};
+  step.gang = step.same_rack = step.checkpoints = true;
+  step.label = "b";
+  step.rack = "r1-2";
+  step.spread_limit = 2;
+  step.image = "i";
+  step.may_miss = 1;
+  spec.steps = {step, step};
+  spec.steps[1].after = {0};
+  spec.occurrences = 4;
+  spec.first_ms = -5;
+  spec.interval_ms = 100;
+  return spec;
+}
+
+// Guards against fields that are lost between processes.
+TEST_CASE("Calls and answers travel unchanged") {
+  const auto call = DecodeCall(EncodeCall(submit_call{0xfedcba9876543210, "q", Sample()}));
+  REQUIRE(call);
+  const auto& submit = std::get<submit_call>(*call);
+  CHECK(submit.job == 0xfedcba9876543210);
+  CHECK(submit.spec.payload == Sample().payload);
+  REQUIRE(submit.spec.steps.size() == 2);
+  CHECK(submit.spec.steps[1].after == std::vector<std::uint32_t>{0});
+  CHECK(submit.spec.steps[0].size == Sample().steps[0].size);
+  CHECK(submit.spec.steps[0].gang);
+  CHECK(submit.spec.first_ms == -5);
+  peer_answer answer = Refusal(errc::kOverloaded, std::chrono::seconds(2));
+  answer.approved = {{host_id{"h"}, "ticket"}};
+  answer.owner = {7, "10.0.0.1:1"};
+  const auto read = DecodeAnswer(EncodeAnswer(answer));
+  REQUIRE(read);
+  CHECK(read->code == errc::kOverloaded);
+  CHECK(read->retry_after == std::chrono::seconds(2));
+  CHECK(read->approved.front().ticket == "ticket");
+  CHECK(read->owner.epoch == 7);
+}
+
+// Guards against a new owner that reads something else than the last one wrote.
+TEST_CASE("Journal records come back from their keys and values") {
+  std::vector<stream_record> records;
+  AppendEncoded(cell::accepted_record{0xab, "q", 123, Sample()}, records);
+  cell::progress_record progress;
+  progress.job = 0xab;
+  progress.queue = "q";
+  progress.phase = cell::job_phase::kRunning;
+  progress.open = {{2, {{{true, {}}, {false, {1, 65}}}}}};
+  AppendEncoded(progress, records);
+  AppendEncoded(cell::term_record{9}, records);
+  AppendEncoded(cell::host_record{host_id{"i-1"}, "10.0.0.1:1", "s"}, records);
+  REQUIRE(records.size() == 4);
+  const auto accepted = DecodeJournal(records[0].key, *records[0].value);
+  REQUIRE(accepted);
+  CHECK(std::get<cell::accepted_record>(*accepted).job == 0xab);
+  CHECK(std::get<cell::accepted_record>(*accepted).spec.payload == Sample().payload);
+  const auto read = DecodeJournal(records[1].key, *records[1].value);
+  REQUIRE(read);
+  const auto& open = std::get<cell::progress_record>(*read).open;
+  REQUIRE(open.size() == 1);
+  CHECK(open[0].number == 2);
+  CHECK(open[0].steps[0][0].done);
+  CHECK(open[0].steps[0][1].failed_runs == std::vector<std::uint32_t>{1, 65});
+  CHECK(std::get<cell::term_record>(*DecodeJournal(records[2].key, *records[2].value)).term == 9);
+  const auto host = DecodeJournal(records[3].key, *records[3].value);
+  CHECK(std::get<cell::host_record>(*host).host.value == "i-1");
+}
+
+// Guards against keys that stay after their job is forgotten.
+TEST_CASE("Retiring and forgetting a job remove the keys that were written for it") {
+  std::vector<stream_record> records;
+  AppendEncoded(cell::accepted_record{1, "q", 0, Sample()}, records);
+  AppendEncoded(cell::retire_job{1}, records);
+  CHECK(records[0].key == records[1].key);
+  CHECK_FALSE(records[1].value);
+  records.clear();
+  cell::progress_record progress;
+  progress.job = 1;
+  AppendEncoded(progress, records);
+  AppendEncoded(cell::forget_job{1}, records);
+  CHECK(records[0].key == records[1].key);
+  CHECK_FALSE(records[1].value);
+}
+
+// Guards against crashes and endless allocation on bytes of another origin.
+TEST_CASE("Mutated bytes give an error or another valid value, never a crash") {
+  const std::string good = EncodeCall(submit_call{1, "q", Sample()});
+  std::uint64_t random = 42;
+  const auto next = [&random] {
+    random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+    return static_cast<std::size_t>(random >> 33);
+  };
+  for (int i = 0; i < 20'000; ++i) {
+    std::string bytes = good;
+    for (std::size_t changes = 1 + next() % 4; changes > 0; --changes) {
+      bytes[next() % bytes.size()] = static_cast<char>(next());
+    }
+    bytes.resize(1 + next() % bytes.size());
+    const auto call = DecodeCall(bytes);
+    if (!call) CHECK(call.code() != errc::kOk);
+    (void)DecodeJournal("j00000000000000ab", bytes);
+    (void)DecodeJournal("s00000000000000ab", bytes);
+    (void)DecodeAnswer(bytes);
+  }
+  CHECK_FALSE(DecodeCall(""));
+  CHECK(DecodeJournal("x", good).code() == errc::kMalformed);
+  CHECK(DecodeJournal("jzz", good).code() == errc::kMalformed);
+}
+
+// Guards against an owner that every new process displaces, and one that is far from the store.
+TEST_CASE("Names of members sort by distance, then by the time of the start") {
+  const member_info near_old = {0, 1000, "c", "10.0.0.3:1", {"r"}, {"d"}};
+  const member_info near_new = {0, 20'000, "a", "10.0.0.1:1", {"r"}, {"d"}};
+  const member_info far = {1, 1, "b", "10.0.0.2:1", {"s"}, {"e"}};
+  CHECK(MemberName(near_old) < MemberName(near_new));
+  CHECK(MemberName(near_new) < MemberName(far));
+  const auto read = ParseMemberName(MemberName(far));
+  REQUIRE(read);
+  CHECK(read->rank == 1);
+  CHECK(read->address == "10.0.0.2:1");
+  CHECK(read->region.value == "s");
+  for (const char* bad : {"", "x", "0|1|a|b|c", "0|1|a|b|c|d|e", "x|1|a|b|c|d"}) {
+    CHECK_FALSE(ParseMemberName(bad));
+  }
+}
+
+}  // namespace
+}  // namespace sycamorehinge::control
--- /dev/null
+++ b/packages/control/tests/fake_store.cc
@@ -0,0 +1,200 @@
+#include "fake_store.h"
+
+#include <utility>
+
+namespace sycamorehinge::control::testing {
+
+namespace {
+
+constexpr duration kTimeout = milliseconds(1000);
+constexpr duration kTick = milliseconds(1);
+
+}  // namespace
+
+void fake_store::After(duration delay, std::function<void()> task) {
+  events_.emplace(now + delay, std::move(task));
+}
+
+void fake_store::Run(duration time) {
+  const time_point end = now + time;
+  while (now < end) {
+    now += kTick;
+    Expire();
+    while (!events_.empty() && events_.begin()->first <= now) {
+      const auto task = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      task();
+    }
+  }
+}
+
+bool fake_store::Answers(const std::string& process) const {
+  const auto found = turned_away.find(process);
+  return available && (found == turned_away.end() || !found->second);
+}
+
+void fake_store::Put(stream_name name, const std::string& key, const std::string& value) {
+  (void)Append(name, std::nullopt, {{key, value, 0}});
+}
+
+std::vector<stream_record> fake_store::Newest(stream_name name) const {
+  return Read(name, from_newest{})->records;
+}
+
+result<std::uint64_t> fake_store::Append(stream_name name, const std::optional<append_guard>& guard,
+                                         const std::vector<stream_record>& records) {
+  stream& target = streams_[name];
+  if (guard) {
+    writer& known = target.writers[guard->producer];
+    if (guard->epoch < known.epoch) return errc::kStaleTerm;
+    // A higher epoch may start at any sequence.
+    if (guard->epoch > known.epoch) {
+      known = {guard->epoch, guard->sequence - (records.empty() ? 0 : 1)};
+    }
+    if (!records.empty()) {
+      if (guard->sequence == known.sequence) return std::uint64_t{0};
+      if (guard->sequence != known.sequence + 1) {
+        return {errc::kVersionConflict, std::to_string(known.sequence + 1)};
+      }
+      known.sequence = guard->sequence;
+    }
+  }
+  const std::uint64_t offset = target.records.size();
+  for (stream_record record : records) {
+    record.offset = target.records.size();
+    target.records.push_back(std::move(record));
+  }
+  return offset;
+}
+
+result<stream_page> fake_store::Read(stream_name name, const read_position& position) const {
+  stream_page page;
+  const auto found = streams_.find(name);
+  if (found == streams_.end()) return page;
+  const std::vector<stream_record>& records = found->second.records;
+  page.next = records.size();
+  if (const auto* from = std::get_if<from_offset>(&position)) {
+    for (std::size_t i = from->offset; i < records.size(); ++i) page.records.push_back(records[i]);
+    return page;
+  }
+  std::map<std::string, stream_record> newest;
+  for (const stream_record& record : records) {
+    if (record.value) {
+      newest[record.key] = record;
+    } else {
+      newest.erase(record.key);
+    }
+  }
+  for (auto& [key, record] : newest) page.records.push_back(std::move(record));
+  return page;
+}
+
+void fake_store::Expire() {
+  if (!available) return;
+  if (std::erase_if(members_, [this](const auto& row) { return row.second < now; }) > 0) {
+    ++generation_;
+  }
+}
+
+ports fake_store::PortsOf(const std::string& process) {
+  ports port;
+  port.now = [this] { return now; };
+  port.wall_ms = [this] { return 1'800'000'000'000 + now.time_since_epoch().count() / 1000; };
+  port.at = [this](time_point when, std::function<void()> task) {
+    events_.emplace(std::max(when, now + kTick), std::move(task));
+  };
+  port.read = [this, process](stream_name name, const read_position& position, auto done) {
+    ++reads;
+    const auto* from = std::get_if<from_offset>(&position);
+    const duration wait = from ? from->wait : duration();
+    if (!Answers(process)) return After(kTimeout, [done] { done(errc::kTimeout); });
+    // A waiting read answers late here: followers need no more than that.
+    After(trip + wait / 10, [this, name, position, done] { done(Read(name, position)); });
+  };
+  port.append = [this, process](stream_name name, std::optional<append_guard> guard,
+                                std::vector<stream_record> records, auto done) {
+    ++appends;
+    if (!Answers(process)) return After(kTimeout, [done] { done(errc::kTimeout); });
+    const bool lost = loses_answers;
+    After(lost ? kTimeout : trip, [this, name, guard, records, lost, done] {
+      const result<std::uint64_t> outcome = Append(name, guard, records);
+      if (lost) return done(errc::kTimeout);
+      done(outcome);
+    });
+  };
+  port.join = [this, process](std::string_view member, std::uint64_t, duration ttl, auto done) {
+    if (!Answers(process)) return After(kTimeout, [done] { done(errc::kTimeout); });
+    After(trip, [this, name = std::string(member), ttl, done] {
+      const auto [row, added] = members_.try_emplace(name, now + ttl);
+      row->second = now + ttl;
+      if (added) ++generation_;
+      done(generation_);
+    });
+  };
+  port.leave = [this, process](std::string_view member, auto done) {
+    if (!Answers(process)) return;
+    After(trip, [this, name = std::string(member), done] {
+      if (members_.erase(name) > 0) ++generation_;
+      done();
+    });
+  };
+  port.members = [this, process](auto done) {
+    if (!Answers(process)) return After(kTimeout, [done] { done(errc::kTimeout); });
+    After(trip, [this, done] {
+      std::vector<std::string> names;
+      for (const auto& [name, until] : members_) names.push_back(name);
+      done(names);
+    });
+  };
+  port.parse_config = [](std::string_view text) -> std::optional<cell::fleet_config> {
+    cell::fleet_config config;
+    if (text == "bad") return std::nullopt;
+    config.version = std::stoull(std::string(text));
+    cell::queue_settings queue;
+    queue.name = "q";
+    queue.service = "s";
+    queue.max_attempts = 3;
+    config.queues.push_back(queue);
+    return config;
+  };
+  port.parse_host = [](std::string_view key, std::string_view value) {
+    std::optional<cell::host_entry> entry;
+    if (value == "bad") return entry;
+    entry.emplace();
+    entry->id.value = key;
+    entry->address = value;
+    entry->service = "s";
+    entry->capacity = {8000, 16'000, 0, 0};
+    return entry;
+  };
+  port.look = [this](const cell::look_host&, auto done) {
+    After(trip, [done] {
+      cell::host_look look;
+      look.clock_ms = 1000;
+      done(cell::call_outcome::kDone, &look);
+    });
+  };
+  port.start = [this](const cell::start_task&, auto done) {
+    After(trip, [done] { done(cell::call_outcome::kDone); });
+  };
+  port.stop = [this](const cell::stop_task&, auto done) {
+    After(trip, [done] { done(cell::call_outcome::kDone); });
+  };
+  port.pace = [](const cell::pace_task&, auto) {};
+  port.advise = [](const cell::task_ref&, const std::vector<host_id>&, duration, auto) {};
+  port.call_peer = [this](std::string_view address, const peer_call& call, duration, auto done) {
+    const auto found = peers.find(std::string(address));
+    if (found == peers.end()) {
+      After(trip, [done] { done({errc::kConnectionFailed, "refused"}); });
+      return;
+    }
+    After(trip, [this, call, done, target = found->second] {
+      target(call, [this, done](const peer_answer& answer) {
+        After(trip, [answer, done] { done(answer); });
+      });
+    });
+  };
+  return port;
+}
+
+}  // namespace sycamorehinge::control::testing
--- /dev/null
+++ b/packages/control/tests/journal_writer_test.cc
@@ -0,0 +1,76 @@
+#include "journal_writer.h"
+
+#include <catch2/catch.hpp>
+
+#include "fake_store.h"
+
+namespace sycamorehinge::control::testing {
+namespace {
+
+struct journal_fixture {
+  explicit journal_fixture(std::uint64_t epoch = 1) : port(store.PortsOf("p")) { Open(epoch); }
+
+  void Open(std::uint64_t epoch) {
+    journal_handlers handlers;
+    handlers.on_durable = [this](std::uint64_t sequence) { durable = sequence; };
+    handlers.on_fenced = [this] { fenced = true; };
+    handlers.on_availability = [this](bool now_available) { available = now_available; };
+    writer = std::make_shared<journal_writer>(port, journal_options{"cell"}, epoch, handlers);
+  }
+
+  fake_store store;
+  ports port;
+  std::shared_ptr<journal_writer> writer;
+  std::uint64_t durable = 0;
+  bool fenced = false;
+  bool available = true;
+};
+
+// Guards against an append for each record: the store takes a few hundred a second.
+TEST_CASE("Records that come together are one append") {
+  journal_fixture fixture;
+  for (std::uint64_t i = 1; i <= 50; ++i) fixture.writer->Add(i, cell::term_record{i});
+  fixture.store.Run(milliseconds(50));
+  CHECK(fixture.durable == 50);
+  CHECK(fixture.store.appends == 1);
+}
+
+// Guards against a record that is written twice, or lost, when the answer to its append is lost.
+TEST_CASE("An append without an answer is repeated and stored once") {
+  journal_fixture fixture;
+  fixture.store.loses_answers = true;
+  fixture.writer->Add(1, cell::host_record{host_id{"a"}, "1", "s"});
+  fixture.store.Run(milliseconds(1500));
+  CHECK(fixture.durable == 0);
+  CHECK_FALSE(fixture.available);
+  fixture.store.loses_answers = false;
+  fixture.writer->Add(2, cell::host_record{host_id{"b"}, "1", "s"});
+  fixture.store.Run(milliseconds(3000));
+  CHECK(fixture.durable == 2);
+  CHECK(fixture.available);
+  CHECK(fixture.store.Newest(stream_name::kJournal).size() == 2);
+}
+
+// Guards against two owners that both write.
+TEST_CASE("A newer epoch shuts the older writer out") {
+  journal_fixture fixture;
+  fixture.writer->Add(1, cell::term_record{1});
+  fixture.store.Run(milliseconds(50));
+  const auto old = fixture.writer;
+  fixture.Open(2);
+  errc code = errc::kInternal;
+  fixture.writer->Fence([&](errc outcome) { code = outcome; });
+  fixture.store.Run(milliseconds(50));
+  CHECK(code == errc::kOk);
+  old->Add(2, cell::term_record{5});
+  fixture.store.Run(milliseconds(100));
+  CHECK(fixture.fenced);
+  CHECK(fixture.durable == 1);
+  fixture.Open(1);
+  fixture.writer->Fence([&](errc outcome) { code = outcome; });
+  fixture.store.Run(milliseconds(50));
+  CHECK(code == errc::kStaleTerm);
+}
+
+}  // namespace
+}  // namespace sycamorehinge::control::testing
--- /dev/null
+++ b/packages/control/tests/node_test.cc
@@ -0,0 +1,162 @@
+// Whole control processes around one fake store, on a clock that the test moves.
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "advice_router.h"
+#include "fake_store.h"
+#include "sycamorehinge/control/control_node.h"
+
+namespace sycamorehinge::control::testing {
+namespace {
+
+using std::chrono::seconds;
+
+class cluster {
+ public:
+  explicit cluster(int processes) {
+    store.Put(stream_name::kConfig, "config", "3");
+    store.Put(stream_name::kHosts, "h1", "host:1");
+    for (int i = 0; i < processes; ++i) Start(i);
+  }
+
+  void Start(int number) {
+    const std::string name = "p" + std::to_string(number);
+    control_options options;
+    options.self = {0, 1000 + number, name, name + ":1", {"r"}, {"d"}};
+    nodes[name] = std::make_unique<control_node>(options, store.PortsOf(name), control_observer{});
+    control_node* node = nodes[name].get();
+    store.peers[name + ":1"] = [node](const peer_call& call, auto reply) {
+      node->OnPeerCall(call, reply);
+    };
+    node->Start();
+  }
+  // Gone without a trace: it hears and says nothing any more.
+  void Kill(const std::string& name) {
+    store.turned_away[name] = true;
+    store.peers.erase(name + ":1");
+  }
+  std::string OwnerName() const {
+    std::string owner;
+    for (const auto& [name, node] : nodes) {
+      if (node->Summary().owns_cell) owner += name;
+    }
+    return owner;
+  }
+  errc Call(const std::string& name, peer_call call, duration wait = seconds(3)) {
+    errc code = errc::kInternal;
+    nodes[name]->Call(std::move(call), store.now + wait,
+                      [&code](const peer_answer& answer) { code = answer.code; });
+    store.Run(wait + milliseconds(10));
+    return code;
+  }
+
+  fake_store store;
+  std::map<std::string, std::unique_ptr<control_node>> nodes;
+};
+
+submit_call Job(cell::job_number number) {
+  submit_call call;
+  call.job = number;
+  call.queue = "q";
+  cell::step_spec step;
+  step.size = {1000, 100, 0, 0};
+  call.spec.steps.push_back(step);
+  return call;
+}
+
+// Guards against no owner, two owners, or an owner that calls do not reach.
+TEST_CASE("One process owns the cell and takes the calls of all") {
+  cluster group(3);
+  group.store.Run(seconds(3));
+  CHECK(group.OwnerName() == "p0");
+  CHECK(group.Call("p0", Job(1)) == errc::kOk);
+  CHECK(group.Call("p2", Job(2)) == errc::kOk);
+  CHECK(group.Call("p1", state_call{2}) == errc::kOk);
+  CHECK(group.Call("p1", state_call{3}) == errc::kUnknownJob);
+}
+
+// Guards against a long gap after the death of the owner, and against lost jobs.
+TEST_CASE("Another process owns the cell soon after its owner died") {
+  cluster group(3);
+  group.store.Run(seconds(3));
+  REQUIRE(group.Call("p1", Job(1)) == errc::kOk);
+  group.Kill("p0");
+  // Within the goal of 2.5 s for a death.
+  group.store.Run(milliseconds(2500));
+  CHECK(group.nodes["p1"]->Summary().owns_cell);
+  CHECK(group.Call("p2", state_call{1}) == errc::kOk);
+  CHECK(group.Call("p2", Job(2)) == errc::kOk);
+}
+
+// Guards against a graceful stop that costs as much as a death.
+TEST_CASE("A process that leaves hands the cell over at once") {
+  cluster group(3);
+  group.store.Run(seconds(3));
+  group.nodes["p0"]->Drain();
+  CHECK_FALSE(group.nodes["p0"]->Ready());
+  // Within the goal of 0.5 s for a stop.
+  group.store.Run(milliseconds(500));
+  CHECK(group.OwnerName() == "p1");
+  // The leaving process still passes calls on.
+  CHECK(group.Call("p0", Job(1)) == errc::kOk);
+}
+
+// Guards against an owner that wakes after another took over and goes on as if nothing had been.
+TEST_CASE("An owner that the store turned away is fenced and comes back as the youngest") {
+  cluster group(2);
+  group.store.Run(seconds(3));
+  group.store.turned_away["p0"] = true;
+  group.store.Run(seconds(3));
+  CHECK(group.nodes["p1"]->Summary().owns_cell);
+  group.store.turned_away["p0"] = false;
+  group.store.Run(seconds(4));
+  CHECK(group.OwnerName() == "p1");
+  CHECK(group.Call("p0", Job(1)) == errc::kOk);
+}
+
+// Guards against refusals that are not true: a call that may have taken effect is not refused.
+TEST_CASE("A call without any owner is refused, one that was sent ends as unknown") {
+  cluster group(1);
+  group.store.available = false;
+  CHECK(group.Call("p0", Job(1)) == errc::kNotReady);
+  group.store.available = true;
+  group.store.Run(seconds(4));
+  REQUIRE(group.OwnerName() == "p0");
+  group.store.available = false;
+  CHECK(group.Call("p0", Job(2)) == errc::kOutcomeUnknown);
+}
+
+// Guards against an older configuration after a newer one, and against an unreadable one in force.
+TEST_CASE("Versions of the configuration only rise") {
+  cluster group(1);
+  group.store.Run(seconds(1));
+  REQUIRE(group.nodes["p0"]->Config());
+  CHECK(group.nodes["p0"]->Config()->version == 3);
+  group.store.Put(stream_name::kConfig, "config", "7");
+  group.store.Put(stream_name::kConfig, "config", "5");
+  group.store.Put(stream_name::kConfig, "config", "bad");
+  group.store.Run(seconds(2));
+  CHECK(group.nodes["p0"]->Config()->version == 7);
+}
+
+// Guards against one machine that gets all questions while the service refuses it.
+TEST_CASE("Questions go to the machine that answers first, within its bounds") {
+  const member_info self = {0, 1, "a", "a:1", {"r1"}, {"d1"}};
+  const member_info far = {1, 1, "b", "b:1", {"r2"}, {"d2"}};
+  advice_router router(self);
+  const std::vector<member_info> members = {self, far};
+  router.SetMembers(members);
+  const time_point now(std::chrono::hours(1));
+  // Short ones stay here while the way to others is longer; long ones go elsewhere.
+  CHECK(router.Choose(milliseconds(10), now)->name == "a");
+  CHECK(router.Choose(milliseconds(640), now)->name == "b");
+  router.Finished("b", errc::kOverloaded, now);
+  CHECK(router.Choose(milliseconds(640), now)->name == "a");
+  router.Finished("b", errc::kTimeout, now);
+  for (int i = 0; i < 40; ++i) (void)router.Choose(milliseconds(100), now);
+  CHECK_FALSE(router.Choose(milliseconds(10), now));
+  CHECK(router.Choose(milliseconds(10), now + seconds(9))->name == "a");
+}
+
+}  // namespace
+}  // namespace sycamorehinge::control::testing
--- a/packages/entry/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -64,7 +64,8 @@
 
 // Runs on the users' platform, with the settings file that the platform names.
 int RunOnPlatform() {
-  const char* path = std::getenv(platform::kSettingsVariable);
+  // No other thread runs yet.
+  const char* path = std::getenv(platform::kSettingsVariable);  // NOLINT(concurrency-mt-unsafe)
   if (!path) {
     std::cerr << platform::kSettingsVariable << " is not set\n";
     return kExitSettings;
--- a/packages/net/src/http_error.cc
+++ b/packages/net/src/http_error.cc
@@ -1,7 +1,7 @@
 #include <nlohmann/json.hpp>
 
-#include "sycamorehinge/net/json_fields.h"
 #include "sycamorehinge/net/http_server.h"
+#include "sycamorehinge/net/json_fields.h"
 
 namespace sycamorehinge {
 
--- a/packages/node/src/document_store.h
+++ b/packages/node/src/document_store.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "node_fwd.h"
-#include "sycamorehinge/core/shard.h"
 #include "sycamorehinge/core/config_order.h"
+#include "sycamorehinge/core/shard.h"
 
 namespace sycamorehinge {
 
--- a/packages/node/src/host_claims.h
+++ b/packages/node/src/host_claims.h
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "node_fwd.h"
-#include "sycamorehinge/core/shard.h"
 #include "sycamorehinge/core/partition.h"
 #include "sycamorehinge/core/pool.h"
+#include "sycamorehinge/core/shard.h"
 #include "sycamorehinge/node/ports.h"
 #include "sycamorehinge/wire/messages.h"
 
--- a/packages/node/src/partition_runner.h
+++ b/packages/node/src/partition_runner.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "node_fwd.h"
-#include "sycamorehinge/core/shard.h"
 #include "sycamorehinge/core/partition.h"
+#include "sycamorehinge/core/shard.h"
 
 namespace sycamorehinge {
 
--- a/packages/node/src/pool_set.h
+++ b/packages/node/src/pool_set.h
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "node_fwd.h"
-#include "sycamorehinge/core/shard.h"
 #include "sycamorehinge/core/pool.h"
+#include "sycamorehinge/core/shard.h"
 #include "sycamorehinge/wire/messages.h"
 
 namespace sycamorehinge {
