Metrics of the control process; log calls that end without an answer of an owner

Cause: an operator could not see from the log why a submission was refused, and the control process served no counters.

Change: event 8301 names job, error, time held and the owner known; queue waits, run times, starts and losses are counted by queue and kind and served as GET /metrics on the port for peers.

No functional change of decisions.

--- a/packages/control/include/sycamorehinge/control/control_node.h
+++ b/packages/control/include/sycamorehinge/control/control_node.h
@@ -47,8 +47,12 @@
 
   void Write(const cell::note_decision& decision) const;
   void Write(event_number number, std::initializer_list<event_field> fields = {}) const;
+  void WriteUnanswered(const peer_call& call, errc code, duration held,
+                       const owner_info& known) const;
 
  private:
+  void Measure(const cell::note_decision& decision) const;
+
   control_observer observer_;
 };
 
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -26,10 +26,12 @@
         owner(port, options, log,
               {[this](const owner_info& info) { entrance.LearnOwner(info); },
                [this] { entrance.ForgetOwner(options.self.address); }}),
-        entrance(port, FrontOptions(),
-                 [this](const peer_call& call, peer_reply reply) {
-                   owner.Call(call, std::move(reply));
-                 }),
+        entrance(
+            port, FrontOptions(),
+            [this](const peer_call& call, peer_reply reply) { owner.Call(call, std::move(reply)); },
+            [this](const peer_call& call, errc code, duration held, const owner_info& known) {
+              log.WriteUnanswered(call, code, held, known);
+            }),
         group(std::make_shared<membership>(
             port, options.membership, options.self,
             membership_handlers{
--- a/packages/control/src/decision_log.cc
+++ b/packages/control/src/decision_log.cc
@@ -62,7 +62,32 @@
 
 }  // namespace
 
+// Histograms by queue for waiting, and by kind of end for runs.
+void decision_log::Measure(const cell::note_decision& decision) const {
+  if (!observer_.numbers) return;
+  metrics& numbers = *observer_.numbers;
+  using cell::decision_kind;
+  switch (decision.kind) {
+    case decision_kind::kJobAccepted:
+      return numbers.Count(work_count::kAccepted, decision.cause, "jobs");
+    case decision_kind::kJobCancelled:
+      return numbers.Count(work_count::kCancelled, "all", "jobs");
+    case decision_kind::kTaskStarted:
+      numbers.Count(work_count::kStarted, decision.cause, "tasks");
+      return numbers.Record(latency::kQueueWait, decision.cause, "tasks", decision.age);
+    case decision_kind::kTaskEnded:
+      return numbers.Record(latency::kRunTime, "all", decision.cause, decision.age);
+    case decision_kind::kTaskLost:
+      return numbers.Count(work_count::kLost, "all", "tasks");
+    case decision_kind::kStartFailed:
+      return numbers.Count(work_count::kRetried, "all", decision.cause);
+    default:
+      return;
+  }
+}
+
 void decision_log::Write(const cell::note_decision& decision) const {
+  Measure(decision);
   const std::string subject = SubjectOf(decision);
   Write(EventOf(decision.kind), {{"subject", std::string_view(subject)},
                                  {"host", std::string_view(decision.host)},
@@ -70,6 +95,24 @@
                                  {"after_ms", std::int64_t{decision.age.count() / 1000}}});
 }
 
+void decision_log::WriteUnanswered(const peer_call& call, errc code, duration held,
+                                   const owner_info& known) const {
+  const cell::job_number job =
+      std::visit(overloaded{[](const submit_call& row) { return row.job; },
+                            [](const cancel_call& row) { return row.job; },
+                            [](const state_call& row) { return row.job; },
+                            [](const auto&) { return cell::job_number{0}; }},
+                 call);
+  cell::note_decision subject;
+  subject.task.job = job;
+  const std::string text = SubjectOf(subject);
+  Write(event_number::kCallUnanswered, {{"subject", std::string_view(text)},
+                                        {"error", ErrorName(code)},
+                                        {"held_ms", std::int64_t{held.count() / 1000}},
+                                        {"owner", std::string_view(known.address)},
+                                        {"epoch", known.epoch}});
+}
+
 void decision_log::Write(event_number number, std::initializer_list<event_field> fields) const {
   if (observer_.events) observer_.events->Write(number, fields);
 }
--- a/packages/control/src/front.cc
+++ b/packages/control/src/front.cc
@@ -21,8 +21,11 @@
 
 }  // namespace
 
-front::front(const ports& port, front_options options, local_call local)
-    : port_(port), options_(std::move(options)), local_(std::move(local)) {}
+front::front(const ports& port, front_options options, local_call local, unanswered_call unanswered)
+    : port_(port),
+      options_(std::move(options)),
+      local_(std::move(local)),
+      unanswered_(std::move(unanswered)) {}
 
 void front::Change(const std::function<void(table&, effects&)>& change) {
   state_.Apply(change, [](const effect& run) { run(); });
@@ -85,7 +88,7 @@
     // The owner that failed may be gone: let others tell who has the cell.
     if (!outcome && state.owner.address != options_.address) state.owner.address.clear();
     if (!open.sent && !IsRead(*open.call) && now - open.arrived > options_.hold) {
-      return Finish(state, id, Refusal(errc::kNotReady, options_.retry_after), out);
+      return Refuse(state, id, errc::kNotReady, out);
     }
     RetryLater(id, out);
   });
@@ -109,11 +112,17 @@
     if (found == state.calls.end()) return;
     const open_call& open = found->second;
     const bool unknown = (open.sent || open.trying) && !IsRead(*open.call);
-    const errc code = unknown ? errc::kOutcomeUnknown : errc::kNotReady;
-    Finish(state, id, Refusal(code, options_.retry_after), out);
+    Refuse(state, id, unknown ? errc::kOutcomeUnknown : errc::kNotReady, out);
   });
 }
 
+void front::Refuse(table& state, std::uint64_t id, errc code, effects& out) {
+  const open_call& open = state.calls.at(id);
+  out.push_back([this, call = open.call, code, held = port_.now() - open.arrived,
+                 owner = state.owner] { unanswered_(*call, code, held, owner); });
+  Finish(state, id, Refusal(code, options_.retry_after), out);
+}
+
 void front::Finish(table& state, std::uint64_t id, peer_answer answer, effects& out) {
   const auto found = state.calls.find(id);
   out.push_back(
--- a/packages/control/src/front.h
+++ b/packages/control/src/front.h
@@ -37,7 +37,12 @@
   // Hands a call to the owner in this process.
   using local_call = std::function<void(const peer_call&, peer_reply)>;
 
-  front(const ports& port, front_options options, local_call local);
+  // A call that ends without an answer of an owner, how long it was held, and whether an owner may
+  // have acted on it.
+  using unanswered_call =
+      std::function<void(const peer_call&, errc, duration held, const owner_info&)>;
+
+  front(const ports& port, front_options options, local_call local, unanswered_call unanswered);
 
   // Calls `reply` exactly once, at the latest at `deadline`.
   void Call(peer_call call, time_point deadline, peer_reply reply);
@@ -82,11 +87,13 @@
   void Retry(std::uint64_t id);
   void GiveUp(std::uint64_t id);
   void Finish(table& state, std::uint64_t id, peer_answer answer, effects& out);
+  void Refuse(table& state, std::uint64_t id, errc code, effects& out);
   bool LearnInto(table& state, const owner_info& owner, effects& out);
 
   const ports& port_;
   const front_options options_;
   const local_call local_;
+  const unanswered_call unanswered_;
   shard<table, effect> state_;
 };
 
--- a/packages/control/tests/fake_store.cc
+++ b/packages/control/tests/fake_store.cc
@@ -103,6 +103,14 @@
   port.at = [this](time_point when, std::function<void()> task) {
     events_.emplace(std::max(when, now + kTick), std::move(task));
   };
+  AddStreams(port, process);
+  AddGroup(port, process);
+  AddParsers(port);
+  AddHosts(port);
+  return port;
+}
+
+void fake_store::AddStreams(ports& port, const std::string& process) {
   port.read = [this, process](stream_name name, const read_position& position, auto done) {
     ++reads;
     const auto* from = std::get_if<from_offset>(&position);
@@ -111,8 +119,8 @@
     // A waiting read answers late here: followers need no more than that.
     After(trip + wait / 10, [this, name, position, done] { done(Read(name, position)); });
   };
-  port.append = [this, process](stream_name name, std::optional<append_guard> guard,
-                                std::vector<stream_record> records, auto done) {
+  port.append = [this, process](stream_name name, const std::optional<append_guard>& guard,
+                                const std::vector<stream_record>& records, auto done) {
     ++appends;
     if (!Answers(process)) return After(kTimeout, [done] { done(errc::kTimeout); });
     const bool lost = loses_answers;
@@ -122,6 +130,9 @@
       done(outcome);
     });
   };
+}
+
+void fake_store::AddGroup(ports& port, const std::string& process) {
   port.join = [this, process](std::string_view member, std::uint64_t, duration ttl, auto done) {
     if (!Answers(process)) return After(kTimeout, [done] { done(errc::kTimeout); });
     After(trip, [this, name = std::string(member), ttl, done] {
@@ -146,6 +157,9 @@
       done(names);
     });
   };
+}
+
+void fake_store::AddParsers(ports& port) {
   port.parse_config = [](std::string_view text) -> std::optional<cell::fleet_config> {
     cell::fleet_config config;
     if (text == "bad") return std::nullopt;
@@ -167,6 +181,9 @@
     entry->capacity = {8000, 16'000, 0, 0};
     return entry;
   };
+}
+
+void fake_store::AddHosts(ports& port) {
   port.look = [this](const cell::look_host&, auto done) {
     After(trip, [done] {
       cell::host_look look;
@@ -194,7 +211,6 @@
       });
     });
   };
-  return port;
 }
 
 }  // namespace sycamorehinge::control::testing
--- a/packages/control/tests/fake_store.h
+++ b/packages/control/tests/fake_store.h
@@ -47,6 +47,10 @@
     std::vector<stream_record> records;
     std::map<std::string, writer> writers;
   };
+  void AddStreams(ports& port, const std::string& process);
+  void AddGroup(ports& port, const std::string& process);
+  static void AddParsers(ports& port);
+  void AddHosts(ports& port);
   void After(duration delay, std::function<void()> task);
   result<std::uint64_t> Append(stream_name name, const std::optional<append_guard>& guard,
                                const std::vector<stream_record>& records);
--- a/packages/ctl/src/answer.h
+++ b/packages/ctl/src/answer.h
@@ -10,7 +10,7 @@
 
 namespace sycamorehinge {
 
-// Exit codes of the program; documented in docs/operators.md and `--help`.
+// Exit codes of the program; documented in docs/OPERATIONS.md and `--help`.
 enum class exit_code {
   kOk = 0,
   kFailed = 1,
--- a/packages/ctl/src/commands/help_settings.cc
+++ b/packages/ctl/src/commands/help_settings.cc
@@ -39,7 +39,7 @@
   AddCommand<help_options>(
       registry, "help-settings", "Print all settings of sycamorehinged",
       [](CLI::App& app, help_options& options) {
-        app.add_flag("--markdown", options.markdown, "As the table of docs/operators.md");
+        app.add_flag("--markdown", options.markdown, "As the table of docs/OPERATIONS.md");
       },
       RunHelpSettings);
 }
--- a/packages/entry/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -14,7 +14,7 @@
 namespace sycamorehinge {
 namespace {
 
-// Exit codes; docs/operators.md lists them.
+// Exit codes; docs/OPERATIONS.md lists them.
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitSettings = 2;
--- a/packages/entry/src/peer_calls.cc
+++ b/packages/entry/src/peer_calls.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "sycamorehinge/telemetry/exposition.h"
+
 namespace sycamorehinge {
 
 void CallPeer(http_client& http, std::string_view address, const control::peer_call& call,
@@ -22,8 +24,13 @@
   });
 }
 
-http_server::handler MakePeerHandler(control::control_node& node) {
-  return [&node](const http_request& request, http_server::reply_function reply) {
+http_server::handler MakePeerHandler(control::control_node& node,
+                                     std::function<std::string()> metrics_page) {
+  return [&node, metrics_page = std::move(metrics_page)](const http_request& request,
+                                                         http_server::reply_function reply) {
+    if (request.path == "/metrics") {
+      return reply({200, {{"Content-Type", std::string(kExpositionContentType)}}, metrics_page()});
+    }
     result<control::peer_call> call = control::DecodeCall(request.body);
     if (!call) return reply(ErrorResponse(call.code()));
     node.OnPeerCall(std::move(*call),
--- a/packages/entry/src/peer_calls.h
+++ b/packages/entry/src/peer_calls.h
@@ -2,6 +2,8 @@
 #ifndef SYCAMOREHINGE_ENTRY_SRC_PEER_CALLS_H_
 #define SYCAMOREHINGE_ENTRY_SRC_PEER_CALLS_H_
 
+#include <functional>
+#include <string>
 #include <string_view>
 
 #include "sycamorehinge/control/control_node.h"
@@ -14,8 +16,9 @@
 void CallPeer(http_client& http, std::string_view address, const control::peer_call& call,
               duration timeout, control::completion<control::peer_answer> done);
 
-// Answers the calls of peers; `node` must outlive it.
-http_server::handler MakePeerHandler(control::control_node& node);
+// Answers the calls of peers and GET /metrics; `node` must outlive it.
+http_server::handler MakePeerHandler(control::control_node& node,
+                                     std::function<std::string()> metrics_page);
 
 }  // namespace sycamorehinge
 
--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -126,7 +126,7 @@
 errc platform_process::Start() {
   const platform::platform_settings settings = settings_.Get();
   node_ = std::make_unique<control::control_node>(MakeOptions(), MakePorts(),
-                                                  control::control_observer{&events_, nullptr});
+                                                  control::control_observer{&events_, &metrics_});
   http_server_options options;
   options.listen = settings.front.host;
   options.port = settings.front.port;
@@ -140,7 +140,8 @@
   options.listen = settings.ip;
   options.port = settings.peer_port;
   options.max_body_bytes = std::size_t{4} << 20;
-  peers_ = std::make_unique<http_server>(options, MakePeerHandler(*node_));
+  peers_ =
+      std::make_unique<http_server>(options, MakePeerHandler(*node_, [this] { return Metrics(); }));
   for (http_server* server : {front_.get(), ready_.get(), peers_.get()}) {
     if (const errc code = server->Start(); code != errc::kOk) {
       events_.Write(event_number::kListenFailed);
@@ -153,6 +154,30 @@
   return errc::kOk;
 }
 
+std::string platform_process::Metrics() const {
+  exposition page;
+  metrics_.WriteTo(page);
+  const control::control_summary now = node_->Summary();
+  const auto gauge = [&page](std::string_view name, std::string_view help, double value) {
+    page.Family(name, metric_kind::kGauge, help);
+    page.Sample(name, {}, value);
+  };
+  gauge("sycamorehinge_owns_cell", "1 if this process owns the cell", now.owns_cell ? 1 : 0);
+  gauge("sycamorehinge_config_version", "version of the configuration in force",
+        static_cast<double>(now.config_version));
+  gauge("sycamorehinge_open_calls", "calls without an answer", static_cast<double>(now.open_calls));
+  gauge("sycamorehinge_open_jobs", "jobs that have not ended",
+        static_cast<double>(now.cell.open_jobs));
+  gauge("sycamorehinge_waiting_steps", "steps with tasks that wait for a host",
+        static_cast<double>(now.cell.waiting_steps));
+  gauge("sycamorehinge_runs", "runs on hosts", static_cast<double>(now.cell.runs));
+  gauge("sycamorehinge_cores_milli", "thousandths of cores of listed hosts",
+        static_cast<double>(now.cell.capacity.cores_milli));
+  gauge("sycamorehinge_taken_milli", "thousandths of cores taken by runs",
+        static_cast<double>(now.cell.taken.cores_milli));
+  return page.Text();
+}
+
 void platform_process::Drain() {
   if (std::exchange(draining_, true)) return;
   events_.Write(event_number::kDrainStarted);
--- a/packages/entry/src/platform_process.h
+++ b/packages/entry/src/platform_process.h
@@ -14,6 +14,7 @@
 #include "sycamorehinge/platform/settings.h"
 #include "sycamorehinge/platform/store.h"
 #include "sycamorehinge/telemetry/events.h"
+#include "sycamorehinge/telemetry/metrics.h"
 
 namespace sycamorehinge {
 
@@ -37,6 +38,7 @@
   control::ports MakePorts();
   control::control_options MakeOptions() const;
   void FinishDrain();
+  std::string Metrics() const;
   void WatchSettings();
 
   const std::string path_;
@@ -46,6 +48,7 @@
   time_point draining_since_;
   bool draining_ = false;
   event_log events_;
+  metrics metrics_;
   http_client http_;
   const platform::store_client store_;
   const platform::host_client hosts_;
--- a/packages/settings/include/sycamorehinge/settings/parameters.h
+++ b/packages/settings/include/sycamorehinge/settings/parameters.h
@@ -1,4 +1,4 @@
-// The table of all settings keys: the loader, the help and docs/operators.md are made from it.
+// The table of all settings keys: the loader, the help and docs/OPERATIONS.md are made from it.
 #ifndef SYCAMOREHINGE_SETTINGS_PARAMETERS_H_
 #define SYCAMOREHINGE_SETTINGS_PARAMETERS_H_
 
@@ -53,7 +53,7 @@
 
 // All parameters as lines for a terminal.
 std::string ParameterHelp();
-// All parameters as the table of docs/operators.md.
+// All parameters as the table of docs/OPERATIONS.md.
 std::string ParameterMarkdown();
 
 }  // namespace sycamorehinge
--- a/packages/settings/tests/process_settings_test.cc
+++ b/packages/settings/tests/process_settings_test.cc
@@ -109,7 +109,7 @@
 
 // Guards against a manual that describes other settings than the program has.
 TEST_CASE("The operators' page holds the table of settings") {
-  const std::string page = ReadSource("docs/operators.md");
+  const std::string page = ReadSource("docs/OPERATIONS.md");
   const std::string begin = "<!-- settings: begin -->\n";
   const std::size_t from = page.find(begin);
   const std::size_t to = page.find("<!-- settings: end -->");
