--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -35,7 +35,7 @@
   // Time for which a host without an answer is left alone, doubled up to `look_retry_most`.
   duration look_retry = std::chrono::milliseconds(200);
   duration look_retry_most = std::chrono::milliseconds(1000);
-  // Time that a stop takes at most.
+  // Time that a stop takes at most; one without an answer is sent again after half of it.
   duration stop_timeout = std::chrono::milliseconds(900);
   // Ended jobs are kept this long for questions about their state.
   duration job_retention = std::chrono::seconds(150);
--- a/packages/cell/include/sycamorehinge/cell/work.h
+++ b/packages/cell/include/sycamorehinge/cell/work.h
@@ -78,9 +78,6 @@
 // earlier step, or counts beyond the limits.
 errc CheckSpec(const job_spec& spec);
 
-// Work of one occurrence in core-microseconds, from the declared run times.
-std::int64_t DeclaredWork(const job_spec& spec);
-
 }  // namespace sycamorehinge::cell
 
 #endif  // SYCAMOREHINGE_CELL_WORK_H_
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -108,8 +108,12 @@
   if (const job_entry* known = FindJob(number)) {
     return Answer({call, errc::kOk, known->phase}, known->accepted_sequence);
   }
-  if (!config->FindQueue(queue)) return Answer({call, errc::kNotReady}, 0);
-  if (const errc code = CheckSpec(spec); code != errc::kOk) return Answer({call, code}, 0);
+  const bool known_queue = config->FindQueue(queue) != nullptr;
+  const errc code = known_queue ? CheckSpec(spec) : errc::kNotReady;
+  if (code != errc::kOk) {
+    Note(decision_kind::kJobRefused, {number}, 0, {}, ErrorName(code));
+    return Answer({call, code}, 0);
+  }
   accepted_record record{number, std::string(queue), wall, std::move(spec)};
   job_entry& job = jobs[number];
   job.queue = record.queue;
@@ -215,10 +219,12 @@
   }
   job.occurrences.erase(ref.occurrence);
   const bool last = !job.Timed() || job.next_occurrence >= job.spec.occurrences;
-  if (last && job.occurrences.empty()) FinishJob(ref.job, job, job_phase::kCompleted);
+  if (!last || !job.occurrences.empty()) return;
+  FinishJob(ref.job, job, job_phase::kCompleted, "all tasks succeeded");
 }
 
-void scheduler::state::FinishJob(job_number number, job_entry& job, job_phase phase) {
+void scheduler::state::FinishJob(job_number number, job_entry& job, job_phase phase,
+                                 std::string_view cause) {
   for (auto& [index, occurrence] : job.occurrences) {
     for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
       step_state& step = occurrence.steps[i];
@@ -233,6 +239,9 @@
   }
   job.phase = phase;
   job.ended_ms = wall_ms;
+  const auto kind =
+      phase == job_phase::kCancelled ? decision_kind::kJobCancelled : decision_kind::kJobEnded;
+  Note(kind, {number}, 0, {}, cause, std::chrono::milliseconds(wall_ms - job.accepted_ms));
   job.occurrences.clear();
   job.payload.reset();
   job.spec = {};
@@ -247,8 +256,7 @@
   job_entry* job = FindJob(number);
   if (!job) return Answer({call, errc::kUnknownJob}, 0);
   if (!job->Ended()) {
-    Note(decision_kind::kJobCancelled, {number}, 0, {}, "the caller cancelled it");
-    FinishJob(number, *job, job_phase::kCancelled);
+    FinishJob(number, *job, job_phase::kCancelled, "the caller cancelled it");
   }
   Answer({call, errc::kOk, job->phase}, job->phase_sequence);
 }
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -12,7 +12,6 @@
 // An unanswered start is sent again, which is harmless: the host knows the run.
 constexpr std::uint32_t kStartTries = 3;
 constexpr duration kStartRetry = std::chrono::milliseconds(100);
-constexpr duration kStopRetry = std::chrono::milliseconds(400);
 // Pause after a host refused a start.
 constexpr duration kRefusedPause = std::chrono::milliseconds(1000);
 constexpr duration kNoRoomPause = std::chrono::milliseconds(300);
@@ -141,7 +140,7 @@
     run.phase = run_phase::kStopping;
     run.stop_answered = false;
   }
-  run.next_try = now + kStopRetry;
+  run.next_try = now + options.stop_timeout / 2;
   actions.emplace_back(stop_task{host.entry.id, host.entry.address, token, run.task, run.number});
 }
 
@@ -210,7 +209,7 @@
   CloseRun(id, "the start was refused");
   job_entry* job = FindJob(ref.job);
   if (outcome == call_outcome::kRejected && job && !job->Ended()) {
-    FinishJob(ref.job, *job, job_phase::kFailed);
+    FinishJob(ref.job, *job, job_phase::kFailed, "a host cannot read its start");
   }
 }
 
@@ -299,8 +298,7 @@
   if (end.how == end_kind::kDone) hosts[slot].failures_in_row = 0;
   CloseRun(id, ToString(end.how));
   if (hopeless) {
-    Note(decision_kind::kJobEnded, end.task, end.run, {}, "a task failed too often");
-    return FinishJob(end.task.job, job, job_phase::kFailed);
+    return FinishJob(end.task.job, job, job_phase::kFailed, "a task failed too often");
   }
   if (done) StepMayBeDone(end.task, job);
 }
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -35,6 +35,7 @@
   s.owner = true;
   s.recovering = true;
   s.term_sequence = s.Write(term_record{term});
+  std::sort(s.ended_jobs.begin(), s.ended_jobs.end());
   for (auto& [number, job] : s.jobs) {
     if (!job.Ended()) s.Activate(number, job);
   }
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -223,7 +223,7 @@
   void EnqueueReadySteps(job_number number, job_entry& job, std::uint32_t occurrence);
   bool StepReady(const job_entry& job, const occurrence_state& occurrence,
                  std::uint32_t step) const;
-  void FinishJob(job_number number, job_entry& job, job_phase phase);
+  void FinishJob(job_number number, job_entry& job, job_phase phase, std::string_view cause);
   void StepMayBeDone(const task_ref& ref, job_entry& job);
   void ForgetOldJobs(std::int64_t wall);
   std::int64_t DueMs(const job_entry& job, std::uint32_t occurrence) const;
--- a/packages/cell/src/work.cc
+++ b/packages/cell/src/work.cc
@@ -25,12 +25,4 @@
   return errc::kOk;
 }
 
-std::int64_t DeclaredWork(const job_spec& spec) {
-  std::int64_t work = 0;
-  for (const step_spec& step : spec.steps) {
-    work += step.count * step.size.cores_milli * (step.run_time.count() / 1000);
-  }
-  return work;
-}
-
 }  // namespace sycamorehinge::cell
--- a/packages/entry/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -90,7 +90,11 @@
       process.Drain();
     }
   }
-  return kExitOk;
+  process.Close();
+  // Answers of the store and of hosts may still be on their way to parts that a return would
+  // destroy.
+  std::cout.flush();
+  std::_Exit(kExitOk);
 }
 
 int Main(int argc, char** argv) {
--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -51,10 +51,10 @@
       hosts_(http_, settings_),
       timers_(std::make_unique<timer_queue>(clock_)) {}
 
-platform_process::~platform_process() {
-  front_.reset();
-  ready_.reset();
-  peers_.reset();
+platform_process::~platform_process() = default;
+
+void platform_process::Close() {
+  for (http_server* server : {front_.get(), ready_.get(), peers_.get()}) server->Stop();
   events_.Write(event_number::kProcessStopped);
 }
 
--- a/packages/entry/src/platform_process.h
+++ b/packages/entry/src/platform_process.h
@@ -31,6 +31,8 @@
   errc Start();
   // Begins a graceful stop; `stop` is called when it is done.
   void Drain();
+  // Finishes the answers that are being sent and closes all connections.
+  void Close();
   // Reads the settings file again; a file with mistakes changes nothing.
   void Reload();
 
