--- a/packages/cell/include/sycamorehinge/cell/work.h
+++ b/packages/cell/include/sycamorehinge/cell/work.h
@@ -16,6 +16,9 @@
 // Chosen by the caller; the same number is the same job, however often it is sent.
 using job_number = std::uint64_t;
 
+// 16 lower-case hexadecimal digits.
+std::string ToText(job_number job);
+
 // One task of one occurrence of a job.
 struct task_ref {
   job_number job = 0;
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -133,12 +133,7 @@
   return value;
 }
 
-std::string JobKey(char kind, cell::job_number job) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string key(1, kind);
-  for (int shift = 60; shift >= 0; shift -= 4) key += kDigits[(job >> shift) & 0xf];
-  return key;
-}
+std::string JobKey(char kind, cell::job_number job) { return kind + cell::ToText(job); }
 
 bool ParseJobKey(std::string_view key, cell::job_number& job) {
   if (key.size() != 1 + kJobDigits) return false;
--- a/packages/control/src/decision_log.cc
+++ b/packages/control/src/decision_log.cc
@@ -49,9 +49,7 @@
 // A job as its callers write it, then occurrence, step, task and run.
 std::string SubjectOf(const cell::note_decision& decision) {
   if (decision.task.job == 0) return decision.host;
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text;
-  for (int shift = 60; shift >= 0; shift -= 4) text += kDigits[(decision.task.job >> shift) & 0xf];
+  std::string text = cell::ToText(decision.task.job);
   if (decision.run == 0) return text;
   for (const std::uint32_t part :
        {decision.task.occurrence, decision.task.step, decision.task.index}) {
