One function tells whether a call may have reached the server

No functional change. Two constants of placement stand beside their comment again.

Seen and left, since they change behaviour: an adopted run of a step that fills counts its cores (AdoptRun takes the size, StartTask the room), and the bound of recovery stands twice in hosts.cc.

--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -11,9 +11,9 @@
 
 // Passes are spread out when much work waits, so that they leave time for everything else.
 constexpr duration kPassPause = std::chrono::milliseconds(2);
+constexpr duration kPassPausePerStep = std::chrono::microseconds(60);
 // Waiting steps are explained in the log after this time, and again as often.
 constexpr duration kExplainAfter = std::chrono::seconds(5);
-constexpr duration kPassPausePerStep = std::chrono::microseconds(60);
 
 std::int64_t TimesInto(std::int64_t free, std::int64_t size) {
   if (size <= 0) return std::numeric_limits<std::int32_t>::max();
--- a/packages/entry/src/peer_calls.cc
+++ b/packages/entry/src/peer_calls.cc
@@ -15,7 +15,7 @@
   request.timeout = timeout;
   http.Send(std::move(request), [done = std::move(done)](const result<http_reply>& reply) {
     if (!reply) {
-      const bool sent = reply.detail() != kRefusedDetail && reply.detail() != kNotSentDetail;
+      const bool sent = MayHaveBeenSent(reply);
       return done({sent ? reply.code() : errc::kConnectionFailed,
                    std::string(sent ? reply.detail() : kRefusedDetail)});
     }
--- a/packages/net/include/sycamorehinge/net/http_client.h
+++ b/packages/net/include/sycamorehinge/net/http_client.h
@@ -37,6 +37,9 @@
 // Detail of kTimeout if the time ran out before the request was sent.
 inline constexpr std::string_view kNotSentDetail = "not sent";
 
+// True unless the call certainly did not reach the server.
+bool MayHaveBeenSent(const result<http_reply>& outcome);
+
 struct http_client_options {
   // A target accepts about 60 connections.
   long max_connections_per_host = 60;
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -174,6 +174,10 @@
   std::vector<easy_handle> idle_;
 };
 
+bool MayHaveBeenSent(const result<http_reply>& outcome) {
+  return outcome || (outcome.detail() != kRefusedDetail && outcome.detail() != kNotSentDetail);
+}
+
 http_client::http_client(http_client_options options) : loop_(std::make_unique<loop>(options)) {}
 
 http_client::~http_client() = default;
--- a/packages/net/src/log_client.cc
+++ b/packages/net/src/log_client.cc
@@ -16,8 +16,7 @@
 // An append whose request was certainly not sent is "unavailable"; every other failure of the
 // connection leaves its outcome open.
 errc AppendFailure(const result<http_reply>& outcome) {
-  const bool not_sent = outcome.detail() == kRefusedDetail || outcome.detail() == kNotSentDetail;
-  return not_sent ? errc::kLogUnavailable : errc::kTimeout;
+  return MayHaveBeenSent(outcome) ? errc::kTimeout : errc::kLogUnavailable;
 }
 
 errc ReadFailure(const result<http_reply>& outcome) {
