Give back what a finished step holds; count filling tasks right after a takeover; follow new priorities

Cause: a gang whose run succeeded unseen on a silent host waits again when the lease is over, and may have hosts kept free or room reserved by then. When its end was listed at last, the occurrence was erased without giving these back: the hosts stayed closed to work of the same or lower urgency for the rest of the term. AdoptRun counted the cores of tasks that fill. A job's queue settings were recognised by the address of the configuration, which the allocator may give to a later one; waiting work kept the priority of its submission.

Change: CloseStep gives back room, hosts, question and turn whenever a step is done or its job ends; AdoptRun uses RoomOf; configurations are numbered; a new configuration reorders the waiting work; one function for the time when leases of earlier owners are over.

Tests: three, each failed before its change (2 hosts kept after the end; a job that never completes; the old order).

Ruled out: releasing kept hosts in the placement pass, which no longer finds the erased step.

--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -229,7 +229,7 @@
   // A run that must end still keeps its task from starting elsewhere until then.
   const bool only = !task.done && task.open == kNoRun;
   const step_spec& spec = SpecOf(*job, report.task.step);
-  const run_number id = OpenRun(report.task, slot, spec.size, report.run, run_phase::kRunning);
+  const run_number id = OpenRun(report.task, slot, RoomOf(spec), report.run, run_phase::kRunning);
   Settle(id);
   task.unknown = false;
   if (only) {
@@ -246,13 +246,16 @@
       stop_task{host.entry.id, host.entry.address, token, report.task, report.run});
 }
 
+// Time after which no lease of an earlier owner holds on a host that was not looked at.
+time_point scheduler::state::EarlierLeasesOver() const {
+  return term_began + kOldOwnerSlack + kLeaseSlack + options.lease;
+}
+
 // Closes the runs of a silent host once no lease keeps them alive.
 void scheduler::state::DropLapsedRuns(host_slot slot) {
   host_state& host = hosts[slot];
   const time_point over =
-      host.looked
-          ? host.lease_over
-          : std::max(host.lease_over, term_began + kOldOwnerSlack + kLeaseSlack + options.lease);
+      host.looked ? host.lease_over : std::max(host.lease_over, EarlierLeasesOver());
   if (host.look_failures == 0 || now < over) return;
   const std::vector<run_number> lost = host.runs;
   for (const run_number id : lost) {
@@ -278,7 +281,7 @@
 // Tasks of earlier owners are free again once every host has told what it runs.
 void scheduler::state::CheckRecovery() {
   if (!recovering) return;
-  const time_point over = term_began + kOldOwnerSlack + kLeaseSlack + options.lease;
+  const time_point over = EarlierLeasesOver();
   const bool open = std::any_of(hosts.begin(), hosts.end(), [&](const host_state& host) {
     return !host.looked && (host.listed || host.journaled) && now < over;
   });
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -76,10 +76,23 @@
   return found == jobs.end() ? nullptr : &found->second;
 }
 
+void scheduler::state::SetConfig(std::shared_ptr<const fleet_config> next) {
+  config = std::move(next);
+  ++config_changes;
+  // Queues may have other priorities now.
+  for (waiting_key key : std::exchange(waiting, {})) {
+    job_entry* job = FindJob(key.job);
+    if (!job) continue;
+    key.priority = PriorityOf(*job);
+    waiting.insert(key);
+  }
+  pass_needed = true;
+}
+
 const queue_settings* scheduler::state::QueueOf(job_entry& job) const {
-  if (job.settings_of != config.get()) {
+  if (job.settings_of != config_changes) {
     job.settings = config->FindQueue(job.queue);
-    job.settings_of = config.get();
+    job.settings_of = config_changes;
   }
   return job.settings;
 }
@@ -209,11 +222,21 @@
   }
 }
 
+// Gives back what a step holds to be placed: room, hosts, a question, its turn.
+void scheduler::state::CloseStep(const task_ref& ref, job_entry& job) {
+  step_state& step = *FindStep(ref);
+  Unreserve(step, SpecOf(job, ref.step));
+  ReleaseKept(step);
+  TakeQuestion(std::exchange(step.question, 0));
+  if (step.waiting) Dequeue(KeyOf({ref.job, ref.occurrence, ref.step, 0}, job), step);
+}
+
 // Called after a task of the step succeeded.
 void scheduler::state::StepMayBeDone(const task_ref& ref, job_entry& job) {
   occurrence_state& occurrence = job.occurrences[ref.occurrence];
   const step_state& step = occurrence.steps[ref.step];
   if (step.done < step.tasks.size()) return;
+  CloseStep(ref, job);
   if (++occurrence.steps_done < occurrence.steps.size()) {
     return EnqueueReadySteps(ref.job, job, ref.occurrence);
   }
@@ -227,12 +250,8 @@
                                  std::string_view cause) {
   for (auto& [index, occurrence] : job.occurrences) {
     for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
-      step_state& step = occurrence.steps[i];
-      Unreserve(step, job.spec.steps[i]);
-      ReleaseKept(step);
-      if (step.waiting) Dequeue(KeyOf({number, index, i, 0}, job), step);
-      TakeQuestion(step.question);
-      for (task_state& task : step.tasks) {
+      CloseStep({number, index, i, 0}, job);
+      for (task_state& task : occurrence.steps[i].tasks) {
         if (task.open != kNoRun) SendStop(std::exchange(task.open, kNoRun), "the job has ended");
       }
     }
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -61,8 +61,7 @@
 
 void scheduler::SetConfig(std::shared_ptr<const fleet_config> config) {
   if (config->version < state_->config->version) return;
-  state_->config = std::move(config);
-  state_->pass_needed = true;
+  state_->SetConfig(std::move(config));
 }
 
 void scheduler::SetHost(const host_entry& entry, time_point now) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -103,9 +103,9 @@
 
 struct job_entry {
   std::string queue;
-  // The queue's settings in the configuration that they were looked up in.
+  // The queue's settings, and the number of the configuration that they were looked up in.
   const queue_settings* settings = nullptr;
-  const fleet_config* settings_of = nullptr;
+  std::uint64_t settings_of = 0;
   job_phase phase = job_phase::kQueued;
   std::int64_t accepted_ms = 0;
   std::uint64_t order = 0;
@@ -211,6 +211,7 @@
   explicit state(scheduler_options given) : options(given) {}
 
   // --- jobs (jobs.cc) ---
+  void SetConfig(std::shared_ptr<const fleet_config> next);
   void Load(journal_record record);
   void Submit(call_number call, job_number job, std::string_view queue, job_spec spec,
               std::int64_t wall_ms);
@@ -224,6 +225,7 @@
   bool StepReady(const job_entry& job, const occurrence_state& occurrence,
                  std::uint32_t step) const;
   void FinishJob(job_number number, job_entry& job, job_phase phase, std::string_view cause);
+  void CloseStep(const task_ref& ref, job_entry& job);
   void StepMayBeDone(const task_ref& ref, job_entry& job);
   void ForgetOldJobs(std::int64_t wall);
   std::int64_t DueMs(const job_entry& job, std::uint32_t occurrence) const;
@@ -256,6 +258,7 @@
   void ReadRunning(host_slot slot, time_point sent, const host_look& look);
   void AdoptRun(host_slot slot, const run_report& report);
   void StopForeign(host_slot slot, const run_report& report);
+  time_point EarlierLeasesOver() const;
   void DropLapsedRuns(host_slot slot);
   void ForgetHost(host_state& host);
   void Avoid(host_state& host, duration time, std::string_view cause);
@@ -336,6 +339,7 @@
 
   scheduler_options options;
   std::shared_ptr<const fleet_config> config = std::make_shared<fleet_config>();
+  std::uint64_t config_changes = 1;
   std::uint64_t loaded_term = 0;
   std::uint64_t term = 0;
   std::uint64_t token = 0;
--- a/packages/cell/tests/cell_world.cc
+++ b/packages/cell/tests/cell_world.cc
@@ -85,6 +85,15 @@
   return queue;
 }
 
+void cell_world::ChangePriority(const std::string& queue, std::uint32_t priority) {
+  config_ = std::make_shared<fleet_config>(*config_);
+  ++config_->version;
+  for (queue_settings& row : config_->queues) {
+    if (row.name == queue) row.priority = priority;
+  }
+  owner->SetConfig(config_);
+}
+
 void cell_world::Begin() { ReplaceOwner(); }
 
 void cell_world::KillOwner() {
--- a/packages/cell/tests/cell_world.h
+++ b/packages/cell/tests/cell_world.h
@@ -70,6 +70,8 @@
   // A queue that needs no advice unless `advice` is given.
   queue_settings& AddQueue(std::string name, std::uint32_t priority = 0,
                            std::uint32_t max_attempts = 3);
+  // Puts a configuration in force in which the queue has another priority.
+  void ChangePriority(const std::string& queue, std::uint32_t priority);
   // Puts queues and hosts in force and makes a first owner.
   void Begin();
   // The owner is gone without a trace; the next one reads what the journal has.
--- a/packages/cell/tests/gang_test.cc
+++ b/packages/cell/tests/gang_test.cc
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <string>
+#include <vector>
+
 #include "cell_world.h"
 
 namespace sycamorehinge::cell::testing {
@@ -91,6 +94,31 @@
   CHECK(world.violations.empty());
 }
 
+// Guards against hosts that stay closed for smaller work after the gang they were kept for has ended
+// without a new start.
+TEST_CASE("Hosts kept for a gang are given back when its last run turns out to have succeeded") {
+  cell_world world;
+  Furnish(world, 4);
+  world.Submit(1, "q", Gang(2, 7000, seconds(2)));
+  REQUIRE(world.RunUntil([&] { return world.Running(1) == 2; }, seconds(1)));
+  std::vector<std::string> used;
+  for (const auto& [name, host] : world.hosts) {
+    if (!host.running.empty()) used.push_back(name);
+  }
+  REQUIRE(used.size() == 2);
+  world.Submit(2, "q", OneStep(4, 3000, seconds(60)));
+  REQUIRE(world.RunUntil([&] { return world.Running(2) == 4; }, seconds(1)));
+  for (const std::string& name : used) world.Host(name).cut = true;
+  const auto keeps = [&] { return world.owner->Summary().kept_hosts > 0; };
+  REQUIRE(world.RunUntil(keeps, seconds(20)));
+  for (const std::string& name : used) world.Host(name).cut = false;
+  REQUIRE(world.RunUntil([&] { return world.Phase(1) == job_phase::kCompleted; }, seconds(5)));
+  CHECK(world.owner->Summary().kept_hosts == 0);
+  world.Submit(3, "q", OneStep(10, 2000, seconds(1)));
+  CHECK(world.RunUntil([&] { return world.Running(3) == 10; }, seconds(2)));
+  CHECK(world.violations.empty());
+}
+
 // Guards against a gang over several racks although one of them holds it.
 TEST_CASE("A gang that wants one rack gets one that holds it") {
   cell_world world;
--- a/packages/cell/tests/recovery_test.cc
+++ b/packages/cell/tests/recovery_test.cc
@@ -103,6 +103,21 @@
   CHECK(world.Phase(1) == job_phase::kFailed);
 }
 
+// Guards against a new owner that counts the processor time of tasks that fill, for which the room of
+// the host is not enough.
+TEST_CASE("Tasks that fill take no cores after a takeover either") {
+  cell_world world;
+  Furnish(world, 1);
+  job_spec spec = OneStep(1, 6000, seconds(60));
+  spec.steps[0].fills = true;
+  world.Submit(1, "q", spec);
+  REQUIRE(world.RunUntil([&] { return world.Running(1) == 1; }, seconds(1)));
+  world.ReplaceOwner();
+  world.Submit(2, "q", OneStep(1, 6000, seconds(1)));
+  CHECK(world.RunUntil([&] { return world.Phase(2) == job_phase::kCompleted; }, seconds(5)));
+  CHECK(world.violations.empty());
+}
+
 // Guards against the start of a run that the loss of its host has not ended yet.
 TEST_CASE("Tasks on a silent host run again when its lease is over, not before") {
   cell_world world;
--- a/packages/cell/tests/scheduler_test.cc
+++ b/packages/cell/tests/scheduler_test.cc
@@ -251,5 +251,24 @@
   CHECK(world.looks <= 8);
 }
 
+// Guards against waiting work that keeps the priority that its queue had at its submission.
+TEST_CASE("A new priority of a queue holds for work that waits already") {
+  cell_world world;
+  world.AddQueue("a", 1);
+  world.AddQueue("b", 2);
+  world.AddHost("h0", kSmallHost);
+  world.Begin();
+  world.Submit(1, "a", OneStep(1, 8000, seconds(1)));
+  REQUIRE(world.RunUntil([&] { return world.Running(1) == 1; }, seconds(1)));
+  world.Submit(2, "a", OneStep(1, 8000, seconds(1)));
+  world.Submit(3, "b", OneStep(1, 8000, seconds(1)));
+  world.Run(milliseconds(100));
+  world.ChangePriority("b", 0);
+  REQUIRE(world.RunUntil([&] { return world.Running(2) + world.Running(3) > 0; }, seconds(3)));
+  CHECK(world.Running(3) == 1);
+  CHECK(world.RunUntil([&] { return world.Phase(2) == job_phase::kCompleted; }, seconds(5)));
+  CHECK(world.violations.empty());
+}
+
 }  // namespace
 }  // namespace sycamorehinge::cell::testing
