--- a/packages/cell/tests/gang_test.cc
+++ b/packages/cell/tests/gang_test.cc
@@ -1,5 +1,4 @@
 #include <catch2/catch.hpp>
-
 #include <string>
 #include <vector>
 
@@ -94,8 +93,8 @@
   CHECK(world.violations.empty());
 }
 
-// Guards against hosts that stay closed for smaller work after the gang they were kept for has ended
-// without a new start.
+// Guards against hosts that stay closed for smaller work after the gang they were kept for has
+// ended without a new start.
 TEST_CASE("Hosts kept for a gang are given back when its last run turns out to have succeeded") {
   cell_world world;
   Furnish(world, 4);
--- a/packages/cell/tests/recovery_test.cc
+++ b/packages/cell/tests/recovery_test.cc
@@ -103,8 +103,8 @@
   CHECK(world.Phase(1) == job_phase::kFailed);
 }
 
-// Guards against a new owner that counts the processor time of tasks that fill, for which the room of
-// the host is not enough.
+// Guards against a new owner that counts the processor time of tasks that fill, for which the room
+// of the host is not enough.
 TEST_CASE("Tasks that fill take no cores after a takeover either") {
   cell_world world;
   Furnish(world, 1);
