An owner that cannot write offers the cell; entries of earlier processes count no more; late claims are put right

After a loss of power or a kill of all processes the entries of the earlier ones kept the cell for their time to live. A claim that is carried out late, after its claimant has given up, made the directory name a process that does not own the cell, and calls went there for good.

Change: an append without success for 0.5 s makes the owner offer the cell to the next member. That one takes it up if the store answers it within 0.2 s, and passes the old owner over for 3 s; the fence keeps the two apart as before. A fenced owner comes back as the youngest member. Of several entries of one machine only the newest counts. An owner that reads a later claim of another process and is not fenced within 1.5 s claims the cell anew.

Ruled out: giving the cell up without an offer, which would leave it alone in an outage that hits every process.

Tests: three, each failed before.

--- a/packages/control/include/sycamorehinge/control/calls.h
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -36,7 +36,14 @@
   cell::task_ref step;
   std::vector<host_id> hosts;
 };
-using peer_call = std::variant<submit_call, cancel_call, state_call, pending_call, advice_call>;
+// The sender owns the cell and cannot write to the journal: a member that reaches the store may
+// claim the cell at once.
+struct offer_call {
+  // Name of the sender in the group.
+  std::string member;
+};
+using peer_call =
+    std::variant<submit_call, cancel_call, state_call, pending_call, advice_call, offer_call>;
 
 // Who owns a cell. A higher epoch is newer.
 struct owner_info {
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -12,6 +12,11 @@
 constexpr duration kLoadRetry = std::chrono::milliseconds(100);
 constexpr duration kStatusInterval = std::chrono::seconds(2);
 constexpr std::string_view kProducer = "cell";
+// An append takes 4 ms, or 0.4 s in a slow store; without success for longer, another process may
+// reach the store where this one does not.
+constexpr duration kStalled = std::chrono::milliseconds(500);
+// A claimant has fenced the owner before it by then, or will not.
+constexpr duration kClaimTime = std::chrono::milliseconds(1500);
 
 std::int64_t Milliseconds(duration time) { return time.count() / 1000; }
 
@@ -285,7 +290,31 @@
 }
 
 void cell_owner::Lose(std::uint64_t epoch, std::string_view cause) {
-  Change([&](state& s, effects& out) { StepDown(s, epoch, cause, out); });
+  Change([&](state& s, effects& out) {
+    if (s.epoch != epoch || s.now == phase::kIdle) return;
+    StepDown(s, epoch, cause, out);
+    out.push_back({epoch, std::nullopt, hooks_.on_fenced});
+  });
+}
+
+void cell_owner::OnClaim(const owner_info& claim) {
+  Change([&](state& s, effects& out) {
+    if (s.now != phase::kActive || claim.epoch <= s.epoch) return;
+    if (claim.address == options_.self.address) return;
+    out.push_back({s.epoch, std::nullopt, [this, epoch = s.epoch] {
+                     port_.at(port_.now() + kClaimTime, [this, epoch] { ClaimAgain(epoch); });
+                   }});
+  });
+}
+
+// Calls go to the newest claimant. A claim that was carried out late names a process that does not
+// own the cell, so the owner claims it anew.
+void cell_owner::ClaimAgain(std::uint64_t epoch) {
+  Change([&](state& s, effects& out) {
+    if (s.now != phase::kActive || s.epoch != epoch || s.retired) return;
+    StepDown(s, epoch, "the directory names another process", out);
+    Claim(s, out);
+  });
 }
 
 void cell_owner::StepDown(state& s, std::uint64_t epoch, std::string_view cause, effects& out) {
@@ -342,7 +371,7 @@
                           [&](const pending_call& pending) {
                             s.scheduler->Pending(number, pending.queue);
                           },
-                          [](const advice_call&) {}},
+                          [](const advice_call&) {}, [](const offer_call&) {}},
                call);
   });
 }
@@ -367,10 +396,14 @@
 
 void cell_owner::Tick(std::uint64_t epoch) {
   const time_point now = port_.now();
-  Change([&](state& s, effects&) {
+  Change([&](state& s, effects& out) {
     if (s.now != phase::kActive || s.epoch != epoch) return;
     s.last_tick = now;
     s.scheduler->Tick(now, port_.wall_ms());
+    if (s.journal->StalledFor(now) >= kStalled && now - s.offered >= kStalled) {
+      s.offered = now;
+      out.push_back({epoch, std::nullopt, hooks_.on_stalled});
+    }
     if (now - s.status_logged >= kStatusInterval) LogStatus(s);
   });
   ScheduleTick(epoch);
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -26,12 +26,18 @@
   struct hooks {
     std::function<void(const owner_info&)> on_owned;
     std::function<void()> on_lost;
+    // A newer owner has shut this one out.
+    std::function<void()> on_fenced;
+    // The journal has not taken records for some time.
+    std::function<void()> on_stalled;
   };
 
   cell_owner(const ports& port, const control_options& options, decision_log& log, hooks hooks);
 
   // What the group says; `preferred` if this process should own the cell.
   void OnMembers(const std::vector<member_info>& members, bool preferred, time_point asked);
+  // The newest claim in the directory.
+  void OnClaim(const owner_info& claim);
   // Gives up the cell for good.
   void Retire();
   void SetConfig(std::shared_ptr<const cell::fleet_config> config);
@@ -54,6 +60,8 @@
     // End of the last standstill of the process.
     time_point resumed;
     time_point status_logged;
+    // Last time that the cell was offered to another process.
+    time_point offered;
     std::unique_ptr<cell::scheduler> scheduler;
     std::shared_ptr<const cell::fleet_config> config;
     std::shared_ptr<journal_writer> journal;
@@ -100,6 +108,7 @@
   void StepDown(state& s, std::uint64_t epoch, std::string_view cause, effects& out);
   void Lose(std::uint64_t epoch, std::string_view cause);
   void Tick(std::uint64_t epoch);
+  void ClaimAgain(std::uint64_t epoch);
   void ScheduleTick(std::uint64_t epoch);
   void CheckPause(state& s);
   void LogStatus(state& s);
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -78,6 +78,10 @@
   Fields(archive, value.step, value.hosts);
 }
 template <class Archive>
+void serialize(Archive& archive, offer_call& value) {
+  Fields(archive, value.member);
+}
+template <class Archive>
 void serialize(Archive& archive, owner_info& value) {
   Fields(archive, value.epoch, value.address);
 }
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -25,7 +25,8 @@
         log(given_observer),
         owner(port, options, log,
               {[this](const owner_info& info) { entrance.LearnOwner(info); },
-               [this] { entrance.ForgetOwner(options.self.address); }}),
+               [this] { entrance.ForgetOwner(options.self.address); },
+               [this] { group->YieldCell(); }, [this] { group->OfferCell(); }}),
         entrance(
             port, FrontOptions(),
             [this](const peer_call& call, peer_reply reply) { owner.Call(call, std::move(reply)); },
@@ -57,7 +58,9 @@
     if (record.key != kOwnerKey || !record.value) return;
     log.Write(event_number::kOwnerLearned,
               {{"address", std::string_view(*record.value)}, {"epoch", record.offset + 1}});
-    entrance.LearnOwner({record.offset + 1, *record.value});
+    const owner_info claim{record.offset + 1, *record.value};
+    entrance.LearnOwner(claim);
+    owner.OnClaim(claim);
   }
   std::shared_ptr<stream_follower> Follow(stream_name stream, std::string_view label,
                                           const std::function<void(const stream_record&)>& handle) {
@@ -136,6 +139,10 @@
                   });
     return;
   }
+  if (const auto* offer = std::get_if<offer_call>(&call)) {
+    p.group->OnOffer(offer->member);
+    return reply({});
+  }
   p.owner.Call(call, [&p, reply = std::move(reply)](peer_answer answer) {
     answer.owner = p.entrance.Owner();
     reply(std::move(answer));
--- a/packages/control/src/journal_writer.cc
+++ b/packages/control/src/journal_writer.cc
@@ -34,6 +34,11 @@
   port_.at(port_.now() + options_.collect, [self = shared_from_this()] { self->Collect(); });
 }
 
+duration journal_writer::StalledFor(time_point now) {
+  const std::lock_guard lock(mutex_);
+  return sending_ ? now - sent_ : duration();
+}
+
 void journal_writer::Stop() {
   const std::lock_guard lock(mutex_);
   stopped_ = true;
@@ -47,6 +52,7 @@
     collecting_ = false;
     if (stopped_ || sending_ || pending_.empty()) return;
     sending_ = true;
+    sent_ = port_.now();
     current_ = {};
     current_.number = next_number_++;
     std::size_t bytes = 0;
--- a/packages/control/src/journal_writer.h
+++ b/packages/control/src/journal_writer.h
@@ -41,6 +41,8 @@
   // Shuts out the writers of earlier epochs: kOk, kStaleTerm or an error of the store.
   void Fence(std::function<void(errc)> done);
   void Add(std::uint64_t sequence, const cell::journal_record& record);
+  // Time for which the oldest append has had no success; zero if none is open.
+  duration StalledFor(time_point now);
   // Drops what is not stored; no handler runs for it.
   void Stop();
 
@@ -68,6 +70,8 @@
   std::deque<std::pair<std::uint64_t, std::vector<stream_record>>> pending_;
   batch current_;
   bool sending_ = false;
+  // First try of the current batch.
+  time_point sent_;
   std::uint64_t next_number_ = 1;
   duration backoff_{};
 };
--- a/packages/control/src/membership.cc
+++ b/packages/control/src/membership.cc
@@ -1,6 +1,8 @@
 #include "membership.h"
 
 #include <algorithm>
+#include <map>
+#include <span>
 #include <utility>
 
 namespace sycamorehinge::control {
@@ -15,6 +17,27 @@
 constexpr std::uint32_t kReadsAfterChange = 3;
 // Intervals of joins in which the other members come back after an outage.
 constexpr std::int64_t kIntervalsToReturn = 2;
+constexpr duration kOfferTimeout = std::chrono::milliseconds(1000);
+// An answer of the store within this time tells that it is well: it takes 4 ms, or 60 ms more from
+// another region.
+constexpr duration kPromptAnswer = std::chrono::milliseconds(200);
+// Longer than the time to live of the old owner's entry.
+constexpr duration kOfferHolds = std::chrono::milliseconds(3000);
+
+// Entries of earlier processes of a machine stay listed for their time to live.
+std::vector<member_info> NewestOfEachMachine(std::span<const std::string> names) {
+  std::map<std::string, member_info> newest;
+  for (const std::string& name : names) {
+    result<member_info> member = ParseMemberName(name);
+    if (!member) continue;
+    const auto [row, added] = newest.try_emplace(member->name, *member);
+    if (!added && row->second.started_ms < member->started_ms) row->second = std::move(*member);
+  }
+  std::vector<member_info> members;
+  members.reserve(newest.size());
+  for (auto& [machine, member] : newest) members.push_back(std::move(member));
+  return members;
+}
 
 }  // namespace
 
@@ -135,18 +158,69 @@
       return;
     }
     members_asked_ = asked;
-    std::string best;
-    for (const std::string& name : *names) {
-      result<member_info> member = ParseMemberName(name);
-      if (!member) continue;
-      members.push_back(std::move(*member));
-      if (best.empty() || name < best) best = name;
-    }
-    preferred = best == MemberName(self_) && port_.now() >= claims_from_;
+    members = NewestOfEachMachine(*names);
+    members_ = members;
+    preferred = Prefers(members);
   }
   handlers_.on_members(members, preferred, asked);
 }
 
+// True if this process should own the cell.
+bool membership::Prefers(const std::vector<member_info>& members) const {
+  const time_point now = port_.now();
+  const bool offered = now < offer_ends_;
+  std::string best;
+  for (const member_info& member : members) {
+    const std::string name = MemberName(member);
+    if (offered && name == offered_by_) continue;
+    if (best.empty() || name < best) best = name;
+  }
+  return now >= claims_from_ && best == MemberName(self_);
+}
+
+void membership::OfferCell() {
+  std::string own;
+  std::string address;
+  {
+    const std::lock_guard lock(mutex_);
+    own = MemberName(self_);
+    std::string next;
+    for (const member_info& member : members_) {
+      const std::string name = MemberName(member);
+      if (member.name == self_.name || (!next.empty() && next < name)) continue;
+      next = name;
+      address = member.address;
+    }
+  }
+  if (address.empty()) return;
+  port_.call_peer(address, offer_call{own}, kOfferTimeout, [](const result<peer_answer>&) {});
+}
+
+// Takes the offer up if the store answers here, and soon: else it is the store that is away.
+void membership::OnOffer(const std::string& member) {
+  const time_point asked = port_.now();
+  {
+    const std::lock_guard lock(mutex_);
+    if (left_ || asked - joined_at_ > options_.join_interval * 2) return;
+  }
+  port_.members(
+      [self = shared_from_this(), member, asked](const result<std::vector<std::string>>& names) {
+        const time_point now = self->port_.now();
+        if (!names || now - asked > kPromptAnswer) return;
+        {
+          const std::lock_guard lock(self->mutex_);
+          self->offered_by_ = member;
+          self->offer_ends_ = now + kOfferHolds;
+        }
+        self->OnMembers(names, asked);
+      });
+}
+
+void membership::YieldCell() {
+  const std::lock_guard lock(mutex_);
+  if (!renamed_) Rename();
+}
+
 void membership::Leave() {
   std::string member;
   {
--- a/packages/control/src/membership.h
+++ b/packages/control/src/membership.h
@@ -28,6 +28,12 @@
   void Start();
   // Leaves the group; no handler runs afterwards.
   void Leave();
+  // Offers the cell to the member that is next to own it.
+  void OfferCell();
+  // `member` owns the cell and cannot reach the store.
+  void OnOffer(const std::string& member);
+  // Comes back as the youngest member, so that the cell stays with its new owner.
+  void YieldCell();
 
  private:
   void Measure(std::uint32_t tries);
@@ -38,6 +44,7 @@
   void OnJoined(const result<std::uint64_t>& generation, time_point asked);
   void AskMembers();
   void OnMembers(const result<std::vector<std::string>>& names, time_point asked);
+  bool Prefers(const std::vector<member_info>& members) const;
 
   const ports& port_;
   const membership_options options_;
@@ -51,6 +58,11 @@
   time_point members_asked_;
   // Reads of the members that are due because the group changes.
   std::uint32_t reads_due_ = 0;
+  // The newest entry of each machine, as last listed.
+  std::vector<member_info> members_;
+  // Owner that offered the cell; it is passed over until the offer ends.
+  std::string offered_by_;
+  time_point offer_ends_;
   // Took another name since the last answer to a join.
   bool renamed_ = false;
   // Before this time the process does not take the cell.
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -21,10 +21,15 @@
 
   void Start(int number) {
     const std::string name = "p" + std::to_string(number);
+    Start(name, name, 1000 + number);
+  }
+  // A process of the machine `name`; the store knows it as `process`.
+  void Start(const std::string& process, const std::string& name, std::int64_t started_ms) {
     control_options options;
-    options.self = {0, 1000 + number, name, name + ":1", {"r"}, {"d"}};
-    nodes[name] = std::make_unique<control_node>(options, store.PortsOf(name), control_observer{});
-    control_node* node = nodes[name].get();
+    options.self = {0, started_ms, name, name + ":1", {"r"}, {"d"}};
+    nodes[process] =
+        std::make_unique<control_node>(options, store.PortsOf(process), control_observer{});
+    control_node* node = nodes[process].get();
     store.peers[name + ":1"] = [node](const peer_call& call, auto reply) {
       node->OnPeerCall(call, reply);
     };
@@ -159,6 +164,50 @@
   CHECK(group.OwnerName() == "p1");
 }
 
+// Guards against a wait for the entries of processes that have started anew since (scale-1,
+// trouble-1: half a second after the last fault).
+TEST_CASE("Entries of earlier processes of the same machines do not keep the cell") {
+  cluster group(3);
+  group.store.Run(seconds(3));
+  for (const char* name : {"p0", "p1", "p2"}) group.Kill(name);
+  group.store.Run(milliseconds(100));
+  group.Start("q0", "p0", 5000);
+  group.Start("q1", "p1", 5001);
+  group.Start("q2", "p2", 5002);
+  group.store.Run(milliseconds(600));
+  CHECK(group.nodes["q0"]->Summary().owns_cell);
+}
+
+// Guards against calls that go for good to a process that claimed the cell and never knew it: the
+// claim was carried out late.
+TEST_CASE("The owner takes the cell again after a late claim of another process") {
+  cluster group(2);
+  group.store.Run(seconds(3));
+  group.store.Put(stream_name::kDirectory, std::string(kOwnerKey), "p1:1");
+  group.store.Run(seconds(4));
+  CHECK(group.OwnerName() == "p0");
+  CHECK(group.Call("p1", Job(1)) == errc::kOk);
+}
+
+// Guards against an owner that the store turns away and that keeps the cell until the group drops
+// it (trouble-1: 1.4 s without a start).
+TEST_CASE("An owner that the store turns away offers the cell to the next member") {
+  cluster group(3);
+  group.store.Run(seconds(3));
+  group.store.turned_away["p0"] = true;
+  errc code = errc::kInternal;
+  group.nodes["p2"]->Call(Job(1), group.store.now + seconds(3),
+                          [&code](const peer_answer& answer) { code = answer.code; });
+  group.store.Run(milliseconds(900));
+  CHECK(group.nodes["p1"]->Summary().owns_cell);
+  group.store.turned_away["p0"] = false;
+  group.store.Run(seconds(4));
+  CHECK(code == errc::kOk);
+  CHECK(group.OwnerName() == "p1");
+  // It changed hands once.
+  CHECK(group.store.Newest(stream_name::kDirectory).front().offset == 1);
+}
+
 // Guards against refusals that are not true: a call that may have taken effect is not refused.
 TEST_CASE("A call without any owner is refused, one that was sent ends as unknown") {
   cluster group(1);
