The owner waits for the configuration; no limit of attempts without a queue

Cause: a process that starts while the store is away may acquire the cell before it has read the configuration.

A job whose queue is unknown does not fail; attempts are checked again before each placement, so that a lower limit holds too.

Ruled out: journalling the limit with the job, which a new configuration may change.

Tests: two, failed before.

--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -89,6 +89,13 @@
     return;
   }
   if (!QueueOf(*job)) return;
+  // The limit may be lower than when the last failure was counted.
+  const bool hopeless =
+      std::any_of(step->tasks.begin(), step->tasks.end(),
+                  [&](const task_state& task) { return OutOfAttempts(*job, task); });
+  if (hopeless && !SpecOf(*job, key.step).long_running) {
+    return FinishJob(key.job, *job, job_phase::kFailed, "a task failed too often");
+  }
   if (SpecOf(*job, key.step).gang) {
     PlaceGang(ref, *job, *step);
   } else {
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -315,6 +315,12 @@
   }
 }
 
+// Without its queue no limit is known and nothing starts, so the job stays.
+bool scheduler::state::OutOfAttempts(job_entry& job, const task_state& task) const {
+  const queue_settings* queue = QueueOf(job);
+  return queue && !task.done && task.failed_runs.size() >= std::max(queue->max_attempts, 1U);
+}
+
 // True if the job must fail. The failure of one member is one of the whole gang.
 bool scheduler::state::CountFailure(host_slot slot, const end_report& end, job_entry& job,
                                     step_state& step) {
@@ -327,8 +333,7 @@
   }
   task_state& task = step.tasks[end.task.index];
   task.failed_on.push_back(slot);
-  const queue_settings* queue = QueueOf(job);
-  return task.failed_runs.size() >= (queue ? queue->max_attempts : 1);
+  return OutOfAttempts(job, task);
 }
 
 void scheduler::state::BlameHost(host_slot slot, job_number job) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -274,6 +274,7 @@
   void OnStop(host_slot slot, const task_ref& ref, std::uint32_t number, call_outcome outcome);
   void OnEnd(host_slot slot, const end_report& end);
   void OnEndOfTask(host_slot slot, const end_report& end, job_entry& job, step_state& step);
+  bool OutOfAttempts(job_entry& job, const task_state& task) const;
   bool CountFailure(host_slot slot, const end_report& end, job_entry& job, step_state& step);
   void BlameHost(host_slot slot, job_number job);
   void MarkDone(const task_ref& ref, const step_spec& spec, step_state& step);
--- a/packages/cell/tests/cell_world.cc
+++ b/packages/cell/tests/cell_world.cc
@@ -94,6 +94,13 @@
   owner->SetConfig(config_);
 }
 
+void cell_world::RemoveQueue(const std::string& queue) {
+  config_ = std::make_shared<fleet_config>(*config_);
+  ++config_->version;
+  std::erase_if(config_->queues, [&](const queue_settings& row) { return row.name == queue; });
+  owner->SetConfig(config_);
+}
+
 void cell_world::Begin() { ReplaceOwner(); }
 
 void cell_world::KillOwner() {
--- a/packages/cell/tests/cell_world.h
+++ b/packages/cell/tests/cell_world.h
@@ -72,6 +72,8 @@
                            std::uint32_t max_attempts = 3);
   // Puts a configuration in force in which the queue has another priority.
   void ChangePriority(const std::string& queue, std::uint32_t priority);
+  // Puts a configuration in force that lacks the queue.
+  void RemoveQueue(const std::string& queue);
   // Puts queues and hosts in force and makes a first owner.
   void Begin();
   // The owner is gone without a trace; the next one reads what the journal has.
--- a/packages/cell/tests/scheduler_test.cc
+++ b/packages/cell/tests/scheduler_test.cc
@@ -251,6 +251,35 @@
   CHECK(world.looks <= 8);
 }
 
+// Guards against a job that fails by a limit that nobody set, and against a start beyond the limit
+// once the queue is back.
+TEST_CASE("Failures count against the limit of the queue, not without one") {
+  cell_world world;
+  world.AddQueue("q", 0, 3);
+  world.AddHost("h0", kSmallHost);
+  world.Begin();
+  world.outcome = [](const task_ref&, std::uint32_t) { return end_kind::kFailed; };
+  world.Submit(1, "q", OneStep(1, 1000, seconds(1)));
+  REQUIRE(world.RunUntil([&] { return world.Running(1) == 1; }, seconds(1)));
+  const auto starts = [&] { return world.tasks[{1, 0, 0, 0}].starts; };
+  SECTION("the queue is gone") {
+    world.RemoveQueue("q");
+    world.Run(seconds(3));
+    CHECK(world.Phase(1) == job_phase::kRunning);
+  }
+  SECTION("the limit is lowered") {
+    REQUIRE(world.RunUntil([&] { return starts() == 2; }, seconds(3)));
+    world.RemoveQueue("q");
+    world.Run(seconds(2));
+    world.AddQueue("q", 0, 2);
+    world.ChangePriority("q", 1);
+    world.Run(seconds(2));
+    CHECK(world.Phase(1) == job_phase::kFailed);
+    CHECK(starts() == 2);
+  }
+  CHECK(world.violations.empty());
+}
+
 // Guards against waiting work that keeps the priority that its queue had at its submission.
 TEST_CASE("A new priority of a queue holds for work that waits already") {
   cell_world world;
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -214,7 +214,7 @@
   Change([&](state& s, effects& out) {
     if (s.now != phase::kLoading || s.epoch != epoch) return;
     s.journal_read = true;
-    if (s.hosts_read) Activate(s, out);
+    MayActivate(s, out);
   });
 }
 
@@ -242,15 +242,17 @@
     if (s.epoch != epoch || !s.scheduler) return;
     SetHosts(s, records);
     s.hosts_read = true;
-    if (s.now == phase::kLoading && s.journal_read) Activate(s, out);
+    MayActivate(s, out);
   });
 }
 
-// The journal and the list of hosts are read: the scheduler begins to act.
-void cell_owner::Activate(state& s, effects& out) {
+// The scheduler begins to act when all is read. Without the configuration it would judge jobs by
+// limits that nobody set.
+void cell_owner::MayActivate(state& s, effects& out) {
+  if (s.now != phase::kLoading || !s.journal_read || !s.hosts_read || !s.config) return;
   s.now = phase::kActive;
   s.last_tick = port_.now();
-  if (s.config) s.scheduler->SetConfig(s.config);
+  s.scheduler->SetConfig(s.config);
   s.scheduler->SetAdviceMachines(s.members);
   const std::uint64_t term = s.scheduler->LoadedTerm() + 1;
   s.scheduler->BeginTerm(term, s.epoch, s.last_tick, port_.wall_ms());
@@ -344,9 +346,10 @@
 }
 
 void cell_owner::SetConfig(std::shared_ptr<const cell::fleet_config> config) {
-  Change([&](state& s, effects&) {
+  Change([&](state& s, effects& out) {
     s.config = config;
     if (s.scheduler) s.scheduler->SetConfig(config);
+    MayActivate(s, out);
   });
 }
 
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -102,7 +102,7 @@
   void LoadHosts(std::uint64_t epoch);
   void OnHosts(std::uint64_t epoch, const std::vector<stream_record>& records);
   void OnHostChange(std::uint64_t epoch, const stream_record& record);
-  void Activate(state& s, effects& out);
+  void MayActivate(state& s, effects& out);
   void SetHosts(state& s, const std::vector<stream_record>& records);
   void SetHost(state& s, const stream_record& record);
   void StepDown(state& s, std::uint64_t epoch, std::string_view cause, effects& out);
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -208,6 +208,20 @@
   CHECK(group.store.Newest(stream_name::kDirectory).front().offset == 1);
 }
 
+// Guards against decisions without the limits of the queues: one failure ended a job that had more
+// attempts (owner-dies-store-away --vary --seed 421621808732).
+TEST_CASE("A process without a configuration does not become the owner") {
+  cluster group(0);
+  group.store.Put(stream_name::kConfig, "config", "bad");
+  group.Start(0);
+  group.store.Run(seconds(3));
+  CHECK(group.OwnerName().empty());
+  group.store.Put(stream_name::kConfig, "config", "4");
+  group.store.Run(seconds(1));
+  CHECK(group.OwnerName() == "p0");
+  CHECK(group.Call("p0", Job(1)) == errc::kOk);
+}
+
 // Guards against refusals that are not true: a call that may have taken effect is not refused.
 TEST_CASE("A call without any owner is refused, one that was sent ends as unknown") {
   cluster group(1);
