An owner that is not listed after an outage keeps the cell

Cause: the store lists only members that hold a partition, and a member that comes back gets one only after others have joined again.

Change: a list without the own name says nothing about the own standing.

Ruled out: waiting for the listing before the others may claim, which would lengthen the takeover after a death in an outage.

Test: the outage of node_test with a late listing, failed before (5 claims).

--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -100,14 +100,15 @@
       *item.what);
 }
 
-void cell_owner::OnMembers(const std::vector<member_info>& members, bool preferred,
+void cell_owner::OnMembers(const std::vector<member_info>& members, standing own,
                            time_point asked) {
   Change([&](state& s, effects& out) {
     if (s.retired) return;
     s.advice.SetMembers(members);
     s.members = members.size();
     if (s.scheduler) s.scheduler->SetAdviceMachines(s.members);
-    if (!preferred) {
+    if (own == standing::kUnlisted) return;
+    if (own == standing::kOther) {
       if (s.now != phase::kIdle) StepDown(s, s.epoch, "another process is preferred", out);
       return;
     }
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -14,6 +14,7 @@
 #include "advice_router.h"
 #include "front.h"
 #include "journal_writer.h"
+#include "membership.h"
 #include "stream_follower.h"
 #include "sycamorehinge/cell/scheduler.h"
 #include "sycamorehinge/control/control_node.h"
@@ -34,8 +35,8 @@
 
   cell_owner(const ports& port, const control_options& options, decision_log& log, hooks hooks);
 
-  // What the group says; `preferred` if this process should own the cell.
-  void OnMembers(const std::vector<member_info>& members, bool preferred, time_point asked);
+  // What the group says.
+  void OnMembers(const std::vector<member_info>& members, standing own, time_point asked);
   // The newest claim in the directory.
   void OnClaim(const owner_info& claim);
   // Gives up the cell for good.
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -35,10 +35,8 @@
             }),
         group(std::make_shared<membership>(
             port, options.membership, options.self,
-            membership_handlers{
-                [this](const std::vector<member_info>& members, bool preferred, time_point asked) {
-                  OnMembers(members, preferred, asked);
-                }})) {}
+            membership_handlers{[this](const std::vector<member_info>& members, standing own,
+                                       time_point asked) { OnMembers(members, own, asked); }})) {}
 
   front_options FrontOptions() const {
     front_options chosen;
@@ -46,13 +44,13 @@
     return chosen;
   }
 
-  void OnMembers(const std::vector<member_info>& members, bool preferred, time_point asked) {
+  void OnMembers(const std::vector<member_info>& members, standing own, time_point asked) {
     std::vector<std::string> others;
     for (const member_info& member : members) {
       if (member.name != options.self.name) others.push_back(member.address);
     }
     entrance.SetPeers(std::move(others));
-    owner.OnMembers(members, preferred, asked);
+    owner.OnMembers(members, own, asked);
   }
   void OnDirectory(const stream_record& record) {
     if (record.key != kOwnerKey || !record.value) return;
--- a/packages/control/src/membership.cc
+++ b/packages/control/src/membership.cc
@@ -149,7 +149,7 @@
 
 void membership::OnMembers(const result<std::vector<std::string>>& names, time_point asked) {
   std::vector<member_info> members;
-  bool preferred = false;
+  standing own = standing::kUnlisted;
   {
     const std::lock_guard lock(mutex_);
     if (left_ || asked < members_asked_) return;
@@ -160,22 +160,25 @@
     members_asked_ = asked;
     members = NewestOfEachMachine(*names);
     members_ = members;
-    preferred = Prefers(members);
+    own = Judge(members);
   }
-  handlers_.on_members(members, preferred, asked);
+  handlers_.on_members(members, own, asked);
 }
 
-// True if this process should own the cell.
-bool membership::Prefers(const std::vector<member_info>& members) const {
+standing membership::Judge(const std::vector<member_info>& members) const {
   const time_point now = port_.now();
+  const std::string own = MemberName(self_);
   const bool offered = now < offer_ends_;
+  bool listed = false;
   std::string best;
   for (const member_info& member : members) {
     const std::string name = MemberName(member);
+    listed |= name == own;
     if (offered && name == offered_by_) continue;
     if (best.empty() || name < best) best = name;
   }
-  return now >= claims_from_ && best == MemberName(self_);
+  if (!listed) return standing::kUnlisted;
+  return now >= claims_from_ && best == own ? standing::kPreferred : standing::kOther;
 }
 
 void membership::OfferCell() {
--- a/packages/control/src/membership.h
+++ b/packages/control/src/membership.h
@@ -14,10 +14,17 @@
 
 namespace sycamorehinge::control {
 
+// Who of the listed members should own the cell.
+enum class standing {
+  kPreferred,
+  kOther,
+  // This process is not listed, so the list says nothing about it: new members are listed late.
+  kUnlisted,
+};
+
 struct membership_handlers {
-  // Members of the group; `preferred` is true if this process should own the cell. `asked` is the
-  // time at which the store was asked.
-  std::function<void(const std::vector<member_info>&, bool preferred, time_point asked)> on_members;
+  // Members of the group. `asked` is the time at which the store was asked.
+  std::function<void(const std::vector<member_info>&, standing own, time_point asked)> on_members;
 };
 
 class membership : public std::enable_shared_from_this<membership> {
@@ -44,7 +51,7 @@
   void OnJoined(const result<std::uint64_t>& generation, time_point asked);
   void AskMembers();
   void OnMembers(const result<std::vector<std::string>>& names, time_point asked);
-  bool Prefers(const std::vector<member_info>& members) const;
+  standing Judge(const std::vector<member_info>& members) const;
 
   const ports& port_;
   const membership_options options_;
--- a/packages/control/tests/fake_store.cc
+++ b/packages/control/tests/fake_store.cc
@@ -91,7 +91,7 @@
 
 void fake_store::Expire() {
   if (!available) return;
-  if (std::erase_if(members_, [this](const auto& row) { return row.second < now; }) > 0) {
+  if (std::erase_if(members_, [this](const auto& row) { return row.second.until < now; }) > 0) {
     ++generation_;
   }
 }
@@ -135,9 +135,10 @@
 void fake_store::AddGroup(ports& port, const std::string& process) {
   port.join = [this, process](std::string_view member, std::uint64_t, duration ttl, auto done) {
     if (!Answers(process)) return After(kTimeout, [done] { done(errc::kTimeout); });
-    After(trip, [this, name = std::string(member), ttl, done] {
-      const auto [row, added] = members_.try_emplace(name, now + ttl);
-      row->second = now + ttl;
+    After(trip, [this, name = std::string(member), process, ttl, done] {
+      const auto [row, added] = members_.try_emplace(name);
+      row->second.until = now + ttl;
+      if (added) row->second.listed_from = now + listing_lag[process];
       if (added) ++generation_;
       done(generation_);
     });
@@ -159,7 +160,9 @@
     if (!Answers(process)) return After(kTimeout, [done] { done(errc::kTimeout); });
     After(trip, [this, done] {
       std::vector<std::string> names;
-      for (const auto& [name, until] : members_) names.push_back(name);
+      for (const auto& [name, row] : members_) {
+        if (row.listed_from <= now) names.push_back(name);
+      }
       done(names);
     });
   };
--- a/packages/control/tests/fake_store.h
+++ b/packages/control/tests/fake_store.h
@@ -32,6 +32,9 @@
   bool available = true;
   // Appends take effect and their answers are lost.
   bool loses_answers = false;
+  // Time after which a new member is listed, by process: it gets its share of the group's
+  // partitions only when others have given some up.
+  std::map<std::string, duration> listing_lag;
   // Processes that the store does not answer.
   std::map<std::string, bool> turned_away;
   // Processes that take calls, by address.
@@ -62,7 +65,11 @@
 
   std::multimap<time_point, std::function<void()>> events_;
   std::map<stream_name, stream> streams_;
-  std::map<std::string, time_point> members_;
+  struct membership_row {
+    time_point until;
+    time_point listed_from;
+  };
+  std::map<std::string, membership_row> members_;
   std::uint64_t generation_ = 1;
 };
 
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -123,6 +123,8 @@
 // without an owner once the store was back).
 TEST_CASE("The owner stays when the store forgets all members in an outage") {
   cluster group(4);
+  SECTION("all come back at once") {}
+  SECTION("the owner is listed last") { group.store.listing_lag["p0"] = milliseconds(600); }
   group.store.Run(seconds(3));
   const std::vector<stream_record> claim = group.store.Newest(stream_name::kDirectory);
   REQUIRE(claim.size() == 1);
