--- a/packages/ctl/src/command_line.cc
+++ b/packages/ctl/src/command_line.cc
@@ -41,10 +41,11 @@
 }
 
 void AddCommands(command_registry& registry) {
-  for (const auto add : {AddCheckCommand, AddDiffCommand, AddApplyCommand, AddPromoteCommand,
-                         AddHistoryCommand, AddSubmitCommand, AddJobCommands, AddWaitCommand,
-                         AddRequestCommand, AddClusterCommands, AddStateCommand, AddMetricsCommand,
-                         AddDrainCommand, AddBenchCommand, AddHelpSettingsCommand}) {
+  for (const auto add :
+       {AddCheckCommand, AddDiffCommand, AddApplyCommand, AddPromoteCommand, AddHistoryCommand,
+        AddSubmitCommand, AddJobCommands, AddWaitCommand, AddRequestCommand, AddClusterCommands,
+        AddStateCommand, AddMetricsCommand, AddDrainCommand, AddBenchCommand, AddExplainCommand,
+        AddHelpSettingsCommand}) {
     add(registry);
   }
 }
--- a/packages/ctl/src/commands/commands.h
+++ b/packages/ctl/src/commands/commands.h
@@ -14,6 +14,7 @@
 void AddClusterCommands(command_registry& registry);
 void AddDiffCommand(command_registry& registry);
 void AddDrainCommand(command_registry& registry);
+void AddExplainCommand(command_registry& registry);
 void AddHelpSettingsCommand(command_registry& registry);
 void AddHistoryCommand(command_registry& registry);
 void AddJobCommands(command_registry& registry);
--- a/packages/ctl/src/commands/job.cc
+++ b/packages/ctl/src/commands/job.cc
@@ -1,4 +1,4 @@
-// The commands `status`, `cancel` and `explain`.
+// The commands `status` and `cancel`.
 #include "commands/commands.h"
 #include "json_fields.h"
 #include "sycamorehinge/core/types.h"
@@ -57,21 +57,6 @@
   return exit_code::kOk;
 }
 
-exit_code RunExplain(command_context& context, const job_options& options) {
-  const json_answer answer =
-      Call(context.api, {.path = "/v1/jobs/" + options.job + "/explain"}, call_kind::kRead);
-  if (const auto* error = std::get_if<call_error>(&answer)) return Fail(context, *error);
-  const auto& body = std::get<json>(answer);
-  if (context.format == output_format::kJson) {
-    context.out << JsonText(body) << "\n";
-    return exit_code::kOk;
-  }
-  for (const json& line : ListField(body, "lines")) {
-    if (line.is_string()) context.out << Printable(line.get<std::string>()) << "\n";
-  }
-  return exit_code::kOk;
-}
-
 }  // namespace
 
 void PrintJob(command_context& context, const json& job) {
@@ -93,8 +78,6 @@
 void AddJobCommands(command_registry& registry) {
   AddCommand<job_options>(registry, "status", "Show the state of a job", AddJobOption, RunStatus);
   AddCommand<job_options>(registry, "cancel", "Cancel a job", AddJobOption, RunCancel);
-  AddCommand<job_options>(registry, "explain", "Tell why a job waits or failed", AddJobOption,
-                          RunExplain);
 }
 
 }  // namespace sycamorehinge
--- a/packages/entry/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -93,7 +93,6 @@
   process.Close();
   // Answers of the store and of hosts may still be on their way to parts that a return would
   // destroy.
-  std::cout.flush();
   std::_Exit(kExitOk);
 }
 
--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -15,6 +15,8 @@
 constexpr duration kDrainPoll = std::chrono::milliseconds(50);
 // Time kept for the end of the process before it is killed.
 constexpr duration kDrainReserve = std::chrono::milliseconds(900);
+// A reader of the log that takes longer loses the last lines.
+constexpr std::chrono::milliseconds kFlushTime{300};
 constexpr duration kSettingsInterval = std::chrono::seconds(2);
 // Connections of peers and of the readiness check.
 constexpr unsigned kInnerConnections = 400;
@@ -56,6 +58,7 @@
 void platform_process::Close() {
   for (http_server* server : {front_.get(), ready_.get(), peers_.get()}) server->Stop();
   events_.Write(event_number::kProcessStopped);
+  events_.Flush(kFlushTime);
 }
 
 control::control_options platform_process::MakeOptions() const {
--- a/packages/telemetry/include/sycamorehinge/telemetry/events.h
+++ b/packages/telemetry/include/sycamorehinge/telemetry/events.h
@@ -2,6 +2,7 @@
 #ifndef SYCAMOREHINGE_TELEMETRY_EVENTS_H_
 #define SYCAMOREHINGE_TELEMETRY_EVENTS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <initializer_list>
@@ -29,6 +30,7 @@
   kSettingsInvalid,
   kListenFailed,
   kProcessWasPaused,
+  kLogLinesDropped,
   // Documents.
   kDocumentInForce = 2001,
   kDocumentConflict,
@@ -160,7 +162,9 @@
   std::function<std::int64_t()> wall_ms;
 };
 
-// Thread-safe. The first field of an event is its subject, for example the host.
+// Thread-safe. The first field of an event is its subject, for example the host. Callers never wait
+// for the stream: a thread of the log writes the lines, and lines that find its queue full are
+// dropped and counted.
 class event_log {
  public:
   explicit event_log(event_log_options options = {});
@@ -170,17 +174,20 @@
 
   void Write(event_number number, std::span<const event_field> fields);
   void Write(event_number number, std::initializer_list<event_field> fields = {});
-  // Logs the counts of repeated events whose interval is over; call it now and then.
-  void FlushRepeated();
+  // Waits until the stream has all lines written before, and the counts of repeated events whose
+  // interval is over; at most for `most`. False if the time ran out.
+  bool Flush(std::chrono::milliseconds most);
 
  private:
   class sink;
   class repeat_filter;
+  void ReportOmitted();
   void Emit(const event_row& row, std::span<const event_field> fields, std::uint64_t repeated);
 
   event_log_options options_;
-  std::unique_ptr<sink> sink_;
   std::unique_ptr<repeat_filter> filter_;
+  // Last: its thread uses the other members.
+  std::unique_ptr<sink> sink_;
 };
 
 }  // namespace sycamorehinge
--- a/packages/telemetry/src/event_log.cc
+++ b/packages/telemetry/src/event_log.cc
@@ -4,16 +4,20 @@
 #include <boost/log/attributes/attribute_value_set.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/keywords/start_thread.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/channel_logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 #include <boost/smart_ptr/shared_ptr.hpp>
 #include <chrono>
+#include <condition_variable>
 #include <iostream>
 #include <map>
 #include <mutex>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -33,6 +37,29 @@
   return ++next;
 }
 
+// About 2 MB of lines.
+constexpr std::size_t kMaxWaitingLines = 8192;
+// Lines are collected this long, so that many of them cost one write.
+constexpr auto kCollect = std::chrono::milliseconds(20);
+// Interval in which counts of repeated events are looked at.
+constexpr auto kRepeatCheck = std::chrono::seconds(1);
+
+// Drops lines that find the queue full, and counts them.
+class drop_and_count {
+ public:
+  template <class Lock>
+  static bool on_overflow(const logging::record_view& /*record*/, Lock& /*lock*/) {
+    dropped_.fetch_add(1, std::memory_order_relaxed);
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+  static std::uint64_t Take() { return dropped_.exchange(0, std::memory_order_relaxed); }
+
+ private:
+  static inline std::atomic<std::uint64_t> dropped_ = 0;
+};
+
 std::string SubjectOf(std::span<const event_field> fields) {
   if (fields.empty()) return {};
   const auto* text = std::get_if<std::string_view>(&fields.front().value);
@@ -41,21 +68,29 @@
 
 }  // namespace
 
+// Lines wait in a bounded queue; a thread of its own writes them, since the stream may block.
 class event_log::sink {
  public:
-  explicit sink(std::ostream* out) : channel_(NextChannel()), logger_(channel_) {
+  // `on_write` runs on the sink's thread before each write.
+  sink(std::ostream* out, std::function<void()> on_write)
+      : channel_(NextChannel()), logger_(channel_), out_(out), on_write_(std::move(on_write)) {
     const auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
     // The stream belongs to the caller.
     backend->add_stream(boost::shared_ptr<std::ostream>(out, [](std::ostream*) {}));
-    backend->auto_flush(true);
-    frontend_ = boost::make_shared<frontend>(backend);
+    frontend_ = boost::make_shared<frontend>(backend, logging::keywords::start_thread = false);
     frontend_->set_filter(log_channel == channel_);
     frontend_->set_formatter(logging::expressions::stream << logging::expressions::smessage);
     logging::core::get()->add_sink(frontend_);
+    thread_ = std::thread([this] { Run(); });
   }
   ~sink() {
+    {
+      const std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    wake_.notify_all();
+    thread_.join();
     logging::core::get()->remove_sink(frontend_);
-    frontend_->flush();
   }
   sink(const sink&) = delete;
   sink& operator=(const sink&) = delete;
@@ -67,13 +102,61 @@
     stream << line;
     stream.flush();
     logger_.push_record(std::move(record));
+    // The line that made the queue non-empty has already woken the thread.
+    if (waiting_.exchange(true)) return;
+    const std::lock_guard lock(mutex_);
+    wake_.notify_all();
+  }
+
+  bool Flush(std::chrono::milliseconds most) {
+    std::unique_lock lock(mutex_);
+    const std::uint64_t wanted = ++flushes_asked_;
+    wake_.notify_all();
+    return written_.wait_for(lock, most, [&] { return flushes_done_ >= wanted; });
   }
 
  private:
-  using frontend = logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
+  using queue = logging::sinks::bounded_fifo_queue<kMaxWaitingLines, drop_and_count>;
+  using frontend = logging::sinks::asynchronous_sink<logging::sinks::text_ostream_backend, queue>;
+
+  void Run() {
+    std::unique_lock lock(mutex_);
+    const auto hurry = [this] { return stopping_ || flushes_asked_ > flushes_done_; };
+    while (true) {
+      wake_.wait_for(lock, kRepeatCheck, [&] { return waiting_ || hurry(); });
+      if (waiting_) wake_.wait_for(lock, kCollect, hurry);
+      const std::uint64_t flushes = flushes_asked_;
+      const bool last = stopping_;
+      lock.unlock();
+      Write();
+      lock.lock();
+      flushes_done_ = flushes;
+      written_.notify_all();
+      if (last) return;
+    }
+  }
+
+  void Write() {
+    on_write_();
+    waiting_ = false;
+    frontend_->feed_records();
+    out_->flush();
+  }
+
   std::uint64_t channel_;
   logging::sources::channel_logger_mt<std::uint64_t> logger_;
+  std::ostream* out_;
+  std::function<void()> on_write_;
   boost::shared_ptr<frontend> frontend_;
+
+  std::atomic<bool> waiting_ = false;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::condition_variable written_;
+  bool stopping_ = false;
+  std::uint64_t flushes_asked_ = 0;
+  std::uint64_t flushes_done_ = 0;
+  std::thread thread_;
 };
 
 // Decides which events are logged; the rest is counted. Sharded by number.
@@ -162,8 +245,8 @@
       return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
     };
   }
-  sink_ = std::make_unique<sink>(options_.out);
   filter_ = std::make_unique<repeat_filter>(options_.repeat_interval, options_.max_subjects);
+  sink_ = std::make_unique<sink>(options_.out, [this] { ReportOmitted(); });
 }
 
 event_log::~event_log() = default;
@@ -179,13 +262,20 @@
   Write(number, std::span<const event_field>(fields.begin(), fields.size()));
 }
 
-void event_log::FlushRepeated() {
+bool event_log::Flush(std::chrono::milliseconds most) { return sink_->Flush(most); }
+
+// Writes the counts of what was not written line by line.
+void event_log::ReportOmitted() {
   for (const auto& overdue : filter_->TakeOverdue(options_.now())) {
     const event_row* row = FindEvent(overdue.number);
     const event_field subject{"subject", std::string_view(overdue.subject)};
     const std::size_t fields = overdue.subject.empty() ? 0 : 1;
     Emit(*row, std::span(&subject, fields), overdue.repeated);
   }
+  if (const std::uint64_t dropped = drop_and_count::Take(); dropped > 0) {
+    const event_field lines{"lines", dropped};
+    Emit(*FindEvent(event_number::kLogLinesDropped), std::span(&lines, 1), 0);
+  }
 }
 
 void event_log::Emit(const event_row& row, std::span<const event_field> fields,
--- a/packages/telemetry/tests/events_test.cc
+++ b/packages/telemetry/tests/events_test.cc
@@ -1,7 +1,9 @@
 #include "sycamorehinge/telemetry/events.h"
 
 #include <catch2/catch.hpp>
+#include <condition_variable>
 #include <fstream>
+#include <mutex>
 #include <set>
 #include <sstream>
 #include <thread>
@@ -25,7 +27,8 @@
     options.wall_ms = [] { return kWallMs; };
     return options;
   }
-  std::vector<std::string> Lines() const {
+  std::vector<std::string> Lines(event_log& log) const {
+    REQUIRE(log.Flush(10s));
     std::vector<std::string> lines;
     std::istringstream in(out.str());
     for (std::string line; std::getline(in, line);) lines.push_back(line);
@@ -69,7 +72,7 @@
                                          {"balance", std::int64_t{-2}},
                                          {"share", 0.25},
                                          {"leaving", false}});
-  CHECK(fixture.Lines() ==
+  CHECK(fixture.Lines(log) ==
         std::vector<std::string>{"2026-12-04T07:51:04.123Z info event=3001 host_claimed host=w1 "
                                  "term=7 balance=-2 share=0.25 leaving=false"});
 }
@@ -80,8 +83,8 @@
   event_log log(fixture.Options());
   log.Write(event_number::kUnauthorized,
             {{"source", std::string_view("a b\n2026 error event=1 \"x\\=")}});
-  REQUIRE(fixture.Lines().size() == 1);
-  CHECK(fixture.Lines()[0].ends_with(
+  REQUIRE(fixture.Lines(log).size() == 1);
+  CHECK(fixture.Lines(log)[0].ends_with(
       "unauthorized source=\"a b\\x0a2026 error event=1 \\\"x\\\\=\""));
 }
 
@@ -94,19 +97,16 @@
   };
   for (int i = 0; i < 100; ++i) lost("w1");
   lost("w2");
-  CHECK(fixture.Lines().size() == 2);
+  CHECK(fixture.Lines(log).size() == 2);
   fixture.now += 11s;
   lost("w1");
-  REQUIRE(fixture.Lines().size() == 3);
-  CHECK(fixture.Lines()[2].ends_with("host_lost host=w1 repeated=99"));
+  REQUIRE(fixture.Lines(log).size() == 3);
+  CHECK(fixture.Lines(log)[2].ends_with("host_lost host=w1 repeated=99"));
   lost("w1");
-  log.FlushRepeated();
-  CHECK(fixture.Lines().size() == 3);
+  CHECK(fixture.Lines(log).size() == 3);
   fixture.now += 11s;
-  log.FlushRepeated();
-  log.FlushRepeated();
-  REQUIRE(fixture.Lines().size() == 4);
-  CHECK(fixture.Lines()[3].ends_with("host_lost subject=w1 repeated=1"));
+  REQUIRE(fixture.Lines(log).size() == 4);
+  CHECK(fixture.Lines(log)[3].ends_with("host_lost subject=w1 repeated=1"));
 }
 
 // Guards against memory that grows with made-up subjects.
@@ -119,7 +119,7 @@
     const std::string host = "w" + std::to_string(i);
     log.Write(event_number::kHostLost, {{"host", std::string_view(host)}});
   }
-  CHECK(fixture.Lines().size() == 11);
+  CHECK(fixture.Lines(log).size() == 11);
 }
 
 // Guards against logs that mix up or tear lines.
@@ -143,12 +143,69 @@
   }
   for (auto& thread : threads) thread.join();
   other.Write(event_number::kProcessReady);
-  const auto lines = first.Lines();
+  const auto lines = first.Lines(log);
   CHECK(lines.size() == 800);
   for (const std::string& line : lines) {
     REQUIRE(line.starts_with("2026-12-04T07:51:04.123Z warning event=3004 host_lost host="));
   }
-  CHECK(second.Lines().size() == 1);
+  CHECK(second.Lines(other).size() == 1);
+}
+
+// Stream whose reader has stopped.
+class blocked_buffer : public std::stringbuf {
+ public:
+  void Open() {
+    const std::lock_guard lock(mutex_);
+    open_ = true;
+    opened_.notify_all();
+  }
+
+ protected:
+  std::streamsize xsputn(const char* text, std::streamsize size) override {
+    std::unique_lock lock(mutex_);
+    opened_.wait(lock, [this] { return open_; });
+    return std::stringbuf::xsputn(text, size);
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable opened_;
+  bool open_ = false;
+};
+
+// Guards against work that stands still because nobody reads the log, against a log that grows
+// without bound, and against lines that go missing without a trace.
+TEST_CASE("A blocked stream costs lines, not time") {
+  log_fixture fixture;
+  blocked_buffer buffer;
+  std::ostream out(&buffer);
+  event_log_options options = fixture.Options();
+  options.out = &out;
+  options.max_subjects = 100'000;
+  event_log log(options);
+  constexpr std::uint64_t kEvents = 20'000;
+  for (std::uint64_t i = 0; i < kEvents; ++i) {
+    const std::string host = "w" + std::to_string(i);
+    log.Write(event_number::kHostLost, {{"host", std::string_view(host)}});
+  }
+  CHECK_FALSE(log.Flush(50ms));
+  buffer.Open();
+  REQUIRE(log.Flush(30s));
+  REQUIRE(log.Flush(30s));
+  std::uint64_t written = 0;
+  std::uint64_t dropped = 0;
+  std::istringstream lines(buffer.str());
+  for (std::string line; std::getline(lines, line);) {
+    const auto at = line.find("log_lines_dropped lines=");
+    if (at == std::string::npos) {
+      ++written;
+    } else {
+      dropped += std::stoull(line.substr(line.find('=', at) + 1));
+    }
+  }
+  CHECK(dropped > 0);
+  CHECK(written < 10'000);
+  CHECK(written + dropped == kEvents);
 }
 
 }  // namespace
