Repeat appends, fences and claims without an answer soon

Cause: an append whose answer is lost was sent again after its time-out of 1.2 s, and nothing else is written meanwhile. A claim or fence without an answer waited for the next news from the group.

Change: an append is sent again after three times the usual answer, 80 ms at least, with doubling pauses; the first answer of any copy counts. Fences are repeated the same way, claims every 0.35 s. Parts of cell_owner that act for the scheduler move to cell_owner_effects.cc.

Ruled out: shorter time-outs of the call, which would take a slow store for an absent one.

Tests: lost answers of appends and fences, a slow store that gets no repeats once its time is known, lost answers of claims.

--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -11,6 +11,8 @@
 
 constexpr duration kLoadRetry = std::chrono::milliseconds(100);
 constexpr duration kStatusInterval = std::chrono::seconds(2);
+// Longer than an answer of a slow store, 0.3 s.
+constexpr duration kClaimRepeat = std::chrono::milliseconds(350);
 constexpr std::string_view kProducer = "cell";
 // An append takes 4 ms, or 0.4 s in a slow store; without success for longer, another process may
 // reach the store where this one does not.
@@ -79,27 +81,6 @@
   s.actions.clear();
 }
 
-void cell_owner::Carry(const effect& item) {
-  if (item.run) item.run();
-  if (!item.what) return;
-  const std::uint64_t epoch = item.epoch;
-  std::visit(
-      overloaded{[&](const cell::write_record& write) {
-                   const auto journal = state_.View(
-                       [&](const state& s) { return s.epoch == epoch ? s.journal : nullptr; });
-                   if (journal) journal->Add(write.sequence, write.record);
-                 },
-                 [&](const cell::look_host& look) { Look(epoch, look); },
-                 [&](const cell::start_task& start) { Start(epoch, start); },
-                 [&](const cell::stop_task& stop) { Stop(epoch, stop); },
-                 [&](const cell::pace_task& pace) { port_.pace(pace, [](cell::call_outcome) {}); },
-                 [&](const cell::ask_advice& ask) { Ask(epoch, ask); },
-                 [&](const cell::step_down&) { Lose(epoch, "fenced by a host"); },
-                 [&](const cell::note_decision& note) { log_.Write(note); },
-                 [](const cell::answer_call&) {}},
-      *item.what);
-}
-
 void cell_owner::OnMembers(const std::vector<member_info>& members, standing own,
                            time_point asked) {
   Change([&](state& s, effects& out) {
@@ -122,21 +103,25 @@
 void cell_owner::Claim(state& s, effects& out) {
   s.now = phase::kClaiming;
   const std::uint64_t claim = ++s.claim;
-  out.push_back({s.epoch, std::nullopt, [this, claim] {
-                   port_.append(stream_name::kDirectory, std::nullopt,
-                                {{std::string(kOwnerKey), options_.self.address}},
-                                [this, claim](const result<std::uint64_t>& offset) {
-                                  OnClaimed(claim, offset);
-                                });
-                 }});
+  out.push_back({s.epoch, std::nullopt, [this, claim] { SendClaim(claim); }});
+}
+
+// Repeats of a claim without an answer do no harm: each is a claim of the same process.
+void cell_owner::SendClaim(std::uint64_t claim) {
+  const bool open =
+      state_.View([&](const state& s) { return s.now == phase::kClaiming && s.claim == claim; });
+  if (!open) return;
+  port_.append(stream_name::kDirectory, std::nullopt,
+               {{std::string(kOwnerKey), options_.self.address}},
+               [this, claim](const result<std::uint64_t>& offset) { OnClaimed(claim, offset); });
+  port_.at(port_.now() + kClaimRepeat, [this, claim] { SendClaim(claim); });
 }
 
 void cell_owner::OnClaimed(std::uint64_t claim, const result<std::uint64_t>& offset) {
+  if (!offset) return;
   Change([&](state& s, effects& out) {
     if (s.now != phase::kClaiming || s.claim != claim) return;
-    s.now = phase::kIdle;
-    // Another try follows with the next news from the group.
-    if (offset) Begin(s, *offset + 1, out);
+    Begin(s, *offset + 1, out);
   });
 }
 
@@ -163,21 +148,15 @@
 void cell_owner::OnFenced(std::uint64_t epoch, errc code) {
   Change([&](state& s, effects& out) {
     if (s.now != phase::kFencing || s.epoch != epoch) return;
-    if (code == errc::kOk) {
-      s.now = phase::kLoading;
-      s.scheduler = std::make_unique<cell::scheduler>(options_.scheduler);
-      s.journal_read = false;
-      s.hosts_read = false;
-      out.push_back({epoch, std::nullopt, [this, epoch] {
-                       LoadJournal(epoch, {});
-                       LoadHosts(epoch);
-                     }});
-      return;
-    }
-    // Another try follows with the next membership.
-    s.now = phase::kIdle;
-    s.journal.reset();
-    s.stepped_down = port_.now();
+    if (code != errc::kOk) return StepDown(s, epoch, "a newer owner writes", out);
+    s.now = phase::kLoading;
+    s.scheduler = std::make_unique<cell::scheduler>(options_.scheduler);
+    s.journal_read = false;
+    s.hosts_read = false;
+    out.push_back({epoch, std::nullopt, [this, epoch] {
+                     LoadJournal(epoch, {});
+                     LoadHosts(epoch);
+                   }});
   });
 }
 
@@ -428,78 +407,4 @@
                                          {"taken_milli", now.taken.cores_milli}});
 }
 
-void cell_owner::Look(std::uint64_t epoch, const cell::look_host& look) {
-  const time_point sent = port_.now();
-  port_.look(look, [this, epoch, host = look.host, sent](cell::call_outcome outcome,
-                                                         const cell::host_look* seen) {
-    Schedule(epoch, [&](cell::scheduler& scheduler) {
-      scheduler.OnLook(host, sent, outcome, seen, port_.now());
-    });
-  });
-}
-
-void cell_owner::Start(std::uint64_t epoch, const cell::start_task& start) {
-  port_.start(start, [this, epoch, host = start.host, task = start.task,
-                      run = start.run](cell::call_outcome outcome) {
-    Schedule(epoch, [&](cell::scheduler& scheduler) {
-      scheduler.OnStart(host, task, run, outcome, port_.now());
-    });
-  });
-}
-
-void cell_owner::Stop(std::uint64_t epoch, const cell::stop_task& stop) {
-  port_.stop(stop, [this, epoch, host = stop.host, task = stop.task,
-                    run = stop.run](cell::call_outcome outcome) {
-    Schedule(epoch, [&](cell::scheduler& scheduler) {
-      scheduler.OnStop(host, task, run, outcome, port_.now());
-    });
-  });
-}
-
-void cell_owner::Ask(std::uint64_t epoch, const cell::ask_advice& ask) {
-  std::optional<member_info> chosen;
-  Change([&](state& s, effects&) {
-    chosen = s.advice.Choose(ask.cost, port_.now());
-    const bool owned = s.now == phase::kActive && s.epoch == epoch;
-    if (!chosen && owned) s.scheduler->OnAdvice(ask.question, false, {}, port_.now());
-  });
-  if (!chosen) return;
-  const member_info& member = *chosen;
-  const duration timeout = ask.cost * 2 + options_.advice_slack;
-  const time_point sent = port_.now();
-  const auto done = [this, epoch, question = ask.question, name = member.name,
-                     sent](const result<std::vector<approved_host>>& outcome) {
-    if (!outcome) {
-      log_.Write(event_number::kAdviceUnanswered, {{"member", name},
-                                                   {"cause", ErrorName(outcome.code())},
-                                                   {"detail", outcome.detail()},
-                                                   {"after_ms", Milliseconds(port_.now() - sent)}});
-    }
-    OnAdvised(epoch, question, name, outcome);
-  };
-  if (member.name == options_.self.name) {
-    return port_.advise(ask.step, ask.hosts, timeout, done);
-  }
-  port_.call_peer(member.address, advice_call{ask.step, ask.hosts}, timeout,
-                  [done](const result<peer_answer>& outcome) {
-                    if (!outcome) return done({outcome.code(), std::string(outcome.detail())});
-                    if (outcome->code != errc::kOk) return done(outcome->code);
-                    done(outcome->approved);
-                  });
-}
-
-void cell_owner::OnAdvised(std::uint64_t epoch, std::uint64_t question, const std::string& member,
-                           const result<std::vector<approved_host>>& outcome) {
-  const time_point now = port_.now();
-  Change([&](state& s, effects&) {
-    s.advice.Finished(member, outcome.code(), now);
-    if (s.now != phase::kActive || s.epoch != epoch) return;
-    std::vector<std::pair<host_id, std::string>> approved;
-    if (outcome) {
-      for (const approved_host& row : *outcome) approved.emplace_back(row.host, row.ticket);
-    }
-    s.scheduler->OnAdvice(question, bool(outcome), approved, now);
-  });
-}
-
 }  // namespace sycamorehinge::control
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -94,6 +94,7 @@
   void Carry(const effect& item);
 
   void Claim(state& s, effects& out);
+  void SendClaim(std::uint64_t claim);
   void OnClaimed(std::uint64_t claim, const result<std::uint64_t>& offset);
   void Begin(state& s, std::uint64_t epoch, effects& out);
   void OnFenced(std::uint64_t epoch, errc code);
--- /dev/null
+++ b/packages/control/src/cell_owner_effects.cc
@@ -0,0 +1,110 @@
+// What the owner does for its scheduler: calls to hosts, the journal and the policy service, and
+// their answers.
+#include <utility>
+
+#include "cell_owner.h"
+
+namespace sycamorehinge::control {
+
+namespace {
+
+std::int64_t Milliseconds(duration time) { return time.count() / 1000; }
+
+}  // namespace
+
+void cell_owner::Carry(const effect& item) {
+  if (item.run) item.run();
+  if (!item.what) return;
+  const std::uint64_t epoch = item.epoch;
+  std::visit(
+      overloaded{[&](const cell::write_record& write) {
+                   const auto journal = state_.View(
+                       [&](const state& s) { return s.epoch == epoch ? s.journal : nullptr; });
+                   if (journal) journal->Add(write.sequence, write.record);
+                 },
+                 [&](const cell::look_host& look) { Look(epoch, look); },
+                 [&](const cell::start_task& start) { Start(epoch, start); },
+                 [&](const cell::stop_task& stop) { Stop(epoch, stop); },
+                 [&](const cell::pace_task& pace) { port_.pace(pace, [](cell::call_outcome) {}); },
+                 [&](const cell::ask_advice& ask) { Ask(epoch, ask); },
+                 [&](const cell::step_down&) { Lose(epoch, "fenced by a host"); },
+                 [&](const cell::note_decision& note) { log_.Write(note); },
+                 [](const cell::answer_call&) {}},
+      *item.what);
+}
+
+void cell_owner::Look(std::uint64_t epoch, const cell::look_host& look) {
+  const time_point sent = port_.now();
+  port_.look(look, [this, epoch, host = look.host, sent](cell::call_outcome outcome,
+                                                         const cell::host_look* seen) {
+    Schedule(epoch, [&](cell::scheduler& scheduler) {
+      scheduler.OnLook(host, sent, outcome, seen, port_.now());
+    });
+  });
+}
+
+void cell_owner::Start(std::uint64_t epoch, const cell::start_task& start) {
+  port_.start(start, [this, epoch, host = start.host, task = start.task,
+                      run = start.run](cell::call_outcome outcome) {
+    Schedule(epoch, [&](cell::scheduler& scheduler) {
+      scheduler.OnStart(host, task, run, outcome, port_.now());
+    });
+  });
+}
+
+void cell_owner::Stop(std::uint64_t epoch, const cell::stop_task& stop) {
+  port_.stop(stop, [this, epoch, host = stop.host, task = stop.task,
+                    run = stop.run](cell::call_outcome outcome) {
+    Schedule(epoch, [&](cell::scheduler& scheduler) {
+      scheduler.OnStop(host, task, run, outcome, port_.now());
+    });
+  });
+}
+
+void cell_owner::Ask(std::uint64_t epoch, const cell::ask_advice& ask) {
+  std::optional<member_info> chosen;
+  Change([&](state& s, effects&) {
+    chosen = s.advice.Choose(ask.cost, port_.now());
+    const bool owned = s.now == phase::kActive && s.epoch == epoch;
+    if (!chosen && owned) s.scheduler->OnAdvice(ask.question, false, {}, port_.now());
+  });
+  if (!chosen) return;
+  const member_info& member = *chosen;
+  const duration timeout = ask.cost * 2 + options_.advice_slack;
+  const time_point sent = port_.now();
+  const auto done = [this, epoch, question = ask.question, name = member.name,
+                     sent](const result<std::vector<approved_host>>& outcome) {
+    if (!outcome) {
+      log_.Write(event_number::kAdviceUnanswered, {{"member", name},
+                                                   {"cause", ErrorName(outcome.code())},
+                                                   {"detail", outcome.detail()},
+                                                   {"after_ms", Milliseconds(port_.now() - sent)}});
+    }
+    OnAdvised(epoch, question, name, outcome);
+  };
+  if (member.name == options_.self.name) {
+    return port_.advise(ask.step, ask.hosts, timeout, done);
+  }
+  port_.call_peer(member.address, advice_call{ask.step, ask.hosts}, timeout,
+                  [done](const result<peer_answer>& outcome) {
+                    if (!outcome) return done({outcome.code(), std::string(outcome.detail())});
+                    if (outcome->code != errc::kOk) return done(outcome->code);
+                    done(outcome->approved);
+                  });
+}
+
+void cell_owner::OnAdvised(std::uint64_t epoch, std::uint64_t question, const std::string& member,
+                           const result<std::vector<approved_host>>& outcome) {
+  const time_point now = port_.now();
+  Change([&](state& s, effects&) {
+    s.advice.Finished(member, outcome.code(), now);
+    if (s.now != phase::kActive || s.epoch != epoch) return;
+    std::vector<std::pair<host_id, std::string>> approved;
+    if (outcome) {
+      for (const approved_host& row : *outcome) approved.emplace_back(row.host, row.ticket);
+    }
+    s.scheduler->OnAdvice(question, bool(outcome), approved, now);
+  });
+}
+
+}  // namespace sycamorehinge::control
--- a/packages/control/src/journal_writer.h
+++ b/packages/control/src/journal_writer.h
@@ -38,7 +38,7 @@
   journal_writer(const ports& port, journal_options options, std::uint64_t epoch,
                  journal_handlers handlers);
 
-  // Shuts out the writers of earlier epochs: kOk, kStaleTerm or an error of the store.
+  // Shuts out the writers of earlier epochs; tries until the store says kOk or kStaleTerm.
   void Fence(std::function<void(errc)> done);
   void Add(std::uint64_t sequence, const cell::journal_record& record);
   // Time for which the oldest append has had no success; zero if none is open.
@@ -54,8 +54,12 @@
   };
 
   void Collect();
-  void Send();
-  void OnAppended(const result<std::uint64_t>& outcome);
+  void Send(std::uint64_t number, std::uint32_t tries);
+  void OnAppended(std::uint64_t number, time_point sent, const result<std::uint64_t>& outcome);
+  void SendFence(std::uint32_t tries);
+  void OnFenced(errc code, time_point sent);
+  duration RepeatPause(std::uint32_t tries) const;
+  void LearnAnswerTime(time_point sent);
   errc Judge(const result<std::uint64_t>& outcome) const;
 
   const ports& port_;
@@ -73,7 +77,9 @@
   // First try of the current batch.
   time_point sent_;
   std::uint64_t next_number_ = 1;
-  duration backoff_{};
+  std::function<void(errc)> fence_done_;
+  // Usual time of an answer; zero before the first one.
+  duration answer_time_{};
 };
 
 }  // namespace sycamorehinge::control
--- a/packages/control/tests/fake_store.cc
+++ b/packages/control/tests/fake_store.cc
@@ -123,7 +123,8 @@
                                 const std::vector<stream_record>& records, auto done) {
     ++appends;
     if (!Answers(process)) return After(kTimeout, [done] { done(errc::kTimeout); });
-    const bool lost = loses_answers;
+    const bool lost = loses_answers || loses_next > 0;
+    if (loses_next > 0) --loses_next;
     After(lost ? kTimeout : trip, [this, name, guard, records, lost, done] {
       const result<std::uint64_t> outcome = Append(name, guard, records);
       if (lost) return done(errc::kTimeout);
--- a/packages/control/tests/fake_store.h
+++ b/packages/control/tests/fake_store.h
@@ -32,6 +32,8 @@
   bool available = true;
   // Appends take effect and their answers are lost.
   bool loses_answers = false;
+  // The same for this many appends.
+  std::uint32_t loses_next = 0;
   // Time after which a new member is listed, by process: it gets its share of the group's
   // partitions only when others have given some up.
   std::map<std::string, duration> listing_lag;
--- a/packages/control/tests/journal_writer_test.cc
+++ b/packages/control/tests/journal_writer_test.cc
@@ -51,6 +51,36 @@
   CHECK(fixture.store.Newest(stream_name::kJournal).size() == 2);
 }
 
+// Guards against a whole time-out for each lost answer (lost-writes: half of the writes have none).
+TEST_CASE("A lost answer costs much less than a time-out") {
+  journal_fixture fixture;
+  fixture.store.loses_next = 2;
+  fixture.writer->Add(1, cell::host_record{host_id{"a"}, "1", "s"});
+  fixture.store.Run(milliseconds(400));
+  CHECK(fixture.durable == 1);
+  errc code = errc::kInternal;
+  fixture.Open(2);
+  fixture.store.loses_next = 2;
+  fixture.writer->Fence([&](errc outcome) { code = outcome; });
+  fixture.store.Run(milliseconds(400));
+  CHECK(code == errc::kOk);
+  CHECK(fixture.store.Newest(stream_name::kJournal).size() == 1);
+}
+
+// Guards against repeats that a slow store gets on top of its load.
+TEST_CASE("Appends to a slow store are not repeated once its time is known") {
+  journal_fixture fixture;
+  fixture.store.trip = milliseconds(300);
+  constexpr std::uint64_t kBatches = 20;
+  for (std::uint64_t i = 1; i <= kBatches; ++i) {
+    fixture.writer->Add(i, cell::term_record{i});
+    fixture.store.Run(milliseconds(320));
+  }
+  fixture.store.Run(milliseconds(320));
+  CHECK(fixture.durable == kBatches);
+  CHECK(fixture.store.appends <= kBatches + 5);
+}
+
 // Guards against two owners that both write.
 TEST_CASE("A newer epoch shuts the older writer out") {
   journal_fixture fixture;
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -224,6 +224,15 @@
   CHECK(group.Call("p0", Job(1)) == errc::kOk);
 }
 
+// Guards against seconds without an owner because the answer to its claim was lost.
+TEST_CASE("A claim without an answer is repeated soon") {
+  cluster group(0);
+  group.store.loses_next = 2;
+  group.Start(0);
+  group.store.Run(milliseconds(900));
+  CHECK(group.OwnerName() == "p0");
+}
+
 // Guards against refusals that are not true: a call that may have taken effect is not refused.
 TEST_CASE("A call without any owner is refused, one that was sent ends as unknown") {
   cluster group(1);
