--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -295,10 +295,20 @@
 }
 
 // Calls go to the newest claimant. A claim that was carried out late names a process that does not
-// own the cell, so the owner claims it anew.
+// own the cell, so the owner claims it anew, unless the claimant has fenced it.
 void cell_owner::ClaimAgain(std::uint64_t epoch) {
   Change([&](state& s, effects& out) {
-    if (s.now != phase::kActive || s.epoch != epoch || s.retired) return;
+    if (s.now != phase::kActive || s.epoch != epoch) return;
+    out.push_back({epoch, std::nullopt, [this, epoch, journal = s.journal] {
+                     journal->Fence([this, epoch](errc code) { OnFenceTried(epoch, code); });
+                   }});
+  });
+}
+
+void cell_owner::OnFenceTried(std::uint64_t epoch, errc code) {
+  if (code != errc::kOk) return Lose(epoch, "fenced by the journal");
+  Change([&](state& s, effects& out) {
+    if (s.now != phase::kActive || s.epoch != epoch) return;
     StepDown(s, epoch, "the directory names another process", out);
     Claim(s, out);
   });
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -112,6 +112,7 @@
   void Lose(std::uint64_t epoch, std::string_view cause);
   void Tick(std::uint64_t epoch);
   void ClaimAgain(std::uint64_t epoch);
+  void OnFenceTried(std::uint64_t epoch, errc code);
   void ScheduleTick(std::uint64_t epoch);
   void CheckPause(state& s);
   void LogStatus(state& s);
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -2,7 +2,7 @@
 
 #include "sycamorehinge/control/calls.h"
 #include "sycamorehinge/control/journal_codec.h"
-#include "sycamorehinge/wire/archive.h"
+#include "sycamorehinge/wire/versioned.h"
 
 namespace sycamorehinge {
 
@@ -109,25 +109,12 @@
 
 template <class Value>
 std::string Encode(const Value& value) {
-  std::string bytes(1, static_cast<char>(kVersion));
-  output_archive archive(bytes);
-  // Fields are shared between reading and writing; writing leaves the value unchanged.
-  Field(archive, const_cast<Value&>(value));
-  return bytes;
+  return EncodeVersioned(kVersion, value);
 }
 
 template <class Value>
 errc DecodeInto(std::string_view bytes, Value& value) {
-  if (bytes.empty()) return errc::kTruncated;
-  if (bytes.size() > kMaxBytes) return errc::kTooLarge;
-  if (static_cast<std::uint8_t>(bytes.front()) != kVersion) return errc::kWrongVersion;
-  input_archive archive(bytes.substr(1));
-  try {
-    Field(archive, value);
-  } catch (const decode_failure& failure) {
-    return failure.code;
-  }
-  return archive.Remaining() > 0 ? errc::kMalformed : errc::kOk;
+  return DecodeVersioned(kVersion, kMaxBytes, bytes, value);
 }
 
 template <class Value>
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -191,6 +191,18 @@
   CHECK(group.Call("p1", Job(1)) == errc::kOk);
 }
 
+// Guards against an owner without work that takes the cell from the process that has fenced it.
+TEST_CASE("An owner that a later claimant has fenced steps down") {
+  cluster group(2);
+  group.store.Run(seconds(3));
+  const ports other = group.store.PortsOf("p1");
+  other.append(stream_name::kJournal, append_guard{"cell", 2, 0}, {}, [](const auto&) {});
+  group.store.Put(stream_name::kDirectory, std::string(kOwnerKey), "p1:1");
+  group.store.Run(seconds(5));
+  CHECK(group.OwnerName() == "p1");
+  CHECK(group.Call("p0", Job(1)) == errc::kOk);
+}
+
 // Guards against an owner that the store turns away and that keeps the cell until the group drops
 // it (trouble-1: 1.4 s without a start).
 TEST_CASE("An owner that the store turns away offers the cell to the next member") {
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -4,6 +4,7 @@
 
 #include "message_fields.h"
 #include "record_fields.h"
+#include "sycamorehinge/wire/versioned.h"
 
 namespace sycamorehinge {
 
@@ -11,27 +12,14 @@
 
 template <class Value>
 std::string Encode(const Value& value) {
-  std::string bytes;
-  bytes.push_back(static_cast<char>(kWireVersion));
-  output_archive archive(bytes);
-  // Fields are shared between reading and writing; writing leaves the value unchanged.
-  Field(archive, const_cast<Value&>(value));
-  return bytes;
+  return EncodeVersioned(kWireVersion, value);
 }
 
 template <class Value>
 result<Value> Decode(std::string_view bytes) {
-  if (bytes.empty()) return errc::kTruncated;
-  if (bytes.size() > kMaxMessageBytes) return errc::kTooLarge;
-  if (static_cast<std::uint8_t>(bytes.front()) != kWireVersion) return errc::kWrongVersion;
-  input_archive archive(bytes.substr(1));
   Value value;
-  try {
-    Field(archive, value);
-  } catch (const decode_failure& failure) {
-    return failure.code;
-  }
-  if (archive.Remaining() > 0) return {errc::kMalformed, "bytes behind the end"};
+  const errc code = DecodeVersioned(kWireVersion, kMaxMessageBytes, bytes, value);
+  if (code != errc::kOk) return code;
   return value;
 }
 
