--- a/packages/telemetry/src/event_log.cc
+++ b/packages/telemetry/src/event_log.cc
@@ -49,15 +49,15 @@
  public:
   template <class Lock>
   static bool on_overflow(const logging::record_view& /*record*/, Lock& /*lock*/) {
-    dropped_.fetch_add(1, std::memory_order_relaxed);
+    dropped.fetch_add(1, std::memory_order_relaxed);
     return false;
   }
   static void on_queue_space_available() {}
   static void interrupt() {}
-  static std::uint64_t Take() { return dropped_.exchange(0, std::memory_order_relaxed); }
+  static std::uint64_t Take() { return dropped.exchange(0, std::memory_order_relaxed); }
 
  private:
-  static inline std::atomic<std::uint64_t> dropped_ = 0;
+  static inline std::atomic<std::uint64_t> dropped = 0;
 };
 
 std::string SubjectOf(std::span<const event_field> fields) {
