A process that the store turns away finds the owner through its peers

Cause: a process that cannot read the directory kept passing calls to the owner that it knew, also when that one answered that it does not own the cell.

Change: the address of the last try is forgotten when that process does not own the cell, so that the next tries ask the peers in turn.

Ruled out: news of owners from peer to peer, which the answers carry already.

Test: of node_test, failed before (the hosts of the test fence the owner that the store turns away).

--- a/packages/control/src/front.cc
+++ b/packages/control/src/front.cc
@@ -55,6 +55,7 @@
   }
   if (address.empty()) return RetryLater(id, out);
   open.trying = true;
+  open.tried = address;
   const auto done = [this, id](const result<peer_answer>& outcome) { OnTried(id, outcome); };
   if (local) {
     out.push_back([this, call = open.call, done] {
@@ -85,8 +86,9 @@
     if (lost || (outcome && outcome->code == errc::kOutcomeUnknown)) open.sent = true;
     state.failing_since = std::min(state.failing_since, now);
     if (learned) return Try(state, id, out);
-    // The owner that failed may be gone: let others tell who has the cell.
-    if (!outcome && state.owner.address != options_.address) state.owner.address.clear();
+    // What was taken for the owner may be gone or have lost the cell, and know no newer one if the
+    // store turns it away: let others tell.
+    if (open.tried == state.owner.address) state.owner.address.clear();
     if (!open.sent && !IsRead(*open.call) && now - open.arrived > options_.hold) {
       return Refuse(state, id, errc::kNotReady, out);
     }
--- a/packages/control/src/front.h
+++ b/packages/control/src/front.h
@@ -67,6 +67,8 @@
     // The owner may have acted on it.
     bool sent = false;
     bool trying = false;
+    // Where the last try went.
+    std::string tried;
   };
   struct table {
     owner_info owner;
--- a/packages/control/tests/fake_store.cc
+++ b/packages/control/tests/fake_store.cc
@@ -106,7 +106,7 @@
   AddStreams(port, process);
   AddGroup(port, process);
   AddParsers(port);
-  AddHosts(port);
+  AddHosts(port, process);
   return port;
 }
 
@@ -193,9 +193,11 @@
   };
 }
 
-void fake_store::AddHosts(ports& port) {
-  port.look = [this](const cell::look_host&, auto done) {
-    After(trip, [done] {
+void fake_store::AddHosts(ports& port, const std::string& process) {
+  port.look = [this, process](const cell::look_host&, auto done) {
+    const bool fenced = hosts_fence_turned_away && !Answers(process);
+    After(trip, [done, fenced] {
+      if (fenced) return done(cell::call_outcome::kFenced, nullptr);
       cell::host_look look;
       look.clock_ms = 1000;
       done(cell::call_outcome::kDone, &look);
--- a/packages/control/tests/fake_store.h
+++ b/packages/control/tests/fake_store.h
@@ -39,6 +39,9 @@
   std::map<std::string, duration> listing_lag;
   // Processes that the store does not answer.
   std::map<std::string, bool> turned_away;
+  // Hosts refuse the orders of a process that is turned away, as if a newer owner had looked at
+  // them.
+  bool hosts_fence_turned_away = false;
   // Processes that take calls, by address.
   using peer = std::function<void(const peer_call&, std::function<void(peer_answer)>)>;
   std::map<std::string, peer> peers;
@@ -57,7 +60,7 @@
   void AddStreams(ports& port, const std::string& process);
   void AddGroup(ports& port, const std::string& process);
   static void AddParsers(ports& port);
-  void AddHosts(ports& port);
+  void AddHosts(ports& port, const std::string& process);
   void After(duration delay, std::function<void()> task);
   result<std::uint64_t> Append(stream_name name, const std::optional<append_guard>& guard,
                                const std::vector<stream_record>& records);
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -191,6 +191,22 @@
   CHECK(group.Call("p1", Job(1)) == errc::kOk);
 }
 
+// Guards against calls that two processes without news from the store pass to each other for as
+// long as the store turns both away, the former owner among them (trouble-1: 9 s).
+TEST_CASE("A process that the store turns away finds the owner through its peers") {
+  cluster group(4);
+  group.store.Run(seconds(3));
+  // The owner has a run, so it looks at its host and learns that it is fenced.
+  REQUIRE(group.Call("p0", Job(9), milliseconds(100)) == errc::kOk);
+  group.store.turned_away["p0"] = true;
+  group.store.turned_away["p1"] = true;
+  group.store.hosts_fence_turned_away = true;
+  group.store.Run(seconds(3));
+  REQUIRE(group.nodes["p2"]->Summary().owns_cell);
+  CHECK(group.Call("p1", Job(1), milliseconds(600)) == errc::kOk);
+  CHECK(group.Call("p0", Job(2), milliseconds(600)) == errc::kOk);
+}
+
 // Guards against an owner without work that takes the cell from the process that has fenced it.
 TEST_CASE("An owner that a later claimant has fenced steps down") {
   cluster group(2);
