--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -118,8 +118,8 @@
               now - step.ready_since);
 }
 
-std::string_view scheduler::state::WaitReason(const task_ref& ref, job_entry& job,
-                                              const step_state& step) const {
+std::string scheduler::state::WaitReason(const task_ref& ref, job_entry& job,
+                                         const step_state& step) const {
   const demand wanted = DemandOf(ref, job, step);
   const auto unknown = [](const task_state& task) { return task.maybe_running; };
   if (std::any_of(step.tasks.begin(), step.tasks.end(), unknown))
@@ -129,14 +129,24 @@
   if (step.advice_request != 0) return "waiting for the policy service";
   std::uint32_t capacity = 0;
   std::uint32_t approved_capacity = 0;
+  std::uint32_t approved_hosts = 0;
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
     const std::uint32_t copies = FitCount(wanted, slot, true);
     capacity += copies;
-    if (IsApproved(step, slot)) approved_capacity += copies;
+    if (!IsApproved(step, slot)) continue;
+    approved_capacity += copies;
+    ++approved_hosts;
   }
   const std::size_t needed = wanted.spec->gang ? step.tasks.size() : 1;
   if (capacity < needed) return "no room";
-  if (wanted.NeedsAdvice() && approved_capacity < needed) return "no room on approved hosts";
+  if (wanted.NeedsAdvice() && approved_capacity < needed) {
+    const auto asked =
+        std::count_if(step.verdicts.begin(), step.verdicts.end(),
+                      [](const policy_verdict& verdict) { return verdict.known; });
+    return "no room on approved hosts: " + std::to_string(approved_capacity) + " of " +
+           std::to_string(needed) + " tasks fit, " + std::to_string(approved_hosts) + " of " +
+           std::to_string(asked) + " hosts are approved";
+  }
   return wanted.NeedsAdvice() ? "limit of policy service requests reached" : "not considered yet";
 }
 
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -303,7 +303,7 @@
   void Pass();
   void UpdateFreeCapacity();
   void LogWait(const task_ref& ref, job_entry& job, step_state& step);
-  std::string_view WaitReason(const task_ref& ref, job_entry& job, const step_state& step) const;
+  std::string WaitReason(const task_ref& ref, job_entry& job, const step_state& step) const;
   void TryPlace(const waiting_key& key);
   void PlaceTasks(const task_ref& ref, job_entry& job, step_state& step);
   void PlaceGang(const task_ref& ref, job_entry& job, step_state& step);
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -31,9 +31,11 @@
 void cell_owner::Update(const std::function<void(state&, effects&)>& change) {
   state_.Apply(
       [&](state& s, effects& out) {
+        const time_point began = port_.now();
         CheckTickDelay(s);
         change(s, out);
         CollectActions(s, out);
+        s.busy += port_.now() - began;
       },
       [this](const effect& item) { Execute(item); });
 }
@@ -402,14 +404,15 @@
     if (s.current_phase != phase::kActive || s.epoch != epoch) return std::nullopt;
     return s.scheduler->NextTick();
   });
-  if (next) port_.run_at(*next, [this, epoch] { Tick(epoch); });
+  if (next) port_.run_at(*next, [this, epoch, due = *next] { Tick(epoch, due); });
 }
 
-void cell_owner::Tick(std::uint64_t epoch) {
+void cell_owner::Tick(std::uint64_t epoch, time_point due) {
   const time_point now = port_.now();
   Update([&](state& s, effects& out) {
     if (s.current_phase != phase::kActive || s.epoch != epoch) return;
     s.last_tick = now;
+    s.longest_tick_delay = std::max(s.longest_tick_delay, now - due);
     s.scheduler->Tick(now, port_.wall_ms());
     if (s.journal->OldestAppendAge(now) >= kStalledAppendLimit &&
         now - s.last_offer >= kOfferInterval) {
@@ -429,7 +432,10 @@
 }
 
 void cell_owner::LogStatus(state& s) {
-  s.last_status_log = port_.now();
+  const time_point time = port_.now();
+  const duration interval = time - std::exchange(s.last_status_log, time);
+  const std::int64_t busy_permille = s.busy * 1000 / std::max(interval, duration(1));
+  s.busy = {};
   const cell::scheduler_summary now = s.scheduler->Summary();
   log_.Write(event_number::kCellStatus, {{"epoch", s.epoch},
                                          {"open_jobs", std::uint64_t{now.open_jobs}},
@@ -440,7 +446,13 @@
                                          {"unreachable", std::uint64_t{now.unreachable_hosts}},
                                          {"kept", std::uint64_t{now.reserved_hosts}},
                                          {"cores_milli", now.capacity.cores_milli},
-                                         {"taken_milli", now.allocated.cores_milli}});
+                                         {"taken_milli", now.allocated.cores_milli},
+                                         {"open_calls", std::uint64_t{s.open_calls.size()}},
+                                         {"append_age_ms",
+                                          Milliseconds(s.journal->OldestAppendAge(time))},
+                                         {"busy_permille", busy_permille},
+                                         {"tick_delay_ms",
+                                          Milliseconds(std::exchange(s.longest_tick_delay, {}))}});
 }
 
 }  // namespace sycamorehinge::control
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -63,6 +63,9 @@
     // Time at which the last pause of the process was noticed.
     time_point resumed_at;
     time_point last_status_log;
+    // Since the last status log: time spent with the state locked, and the longest delay of a tick.
+    duration busy{};
+    duration longest_tick_delay{};
     // Last time the cell was offered to another process.
     time_point last_offer;
     std::unique_ptr<cell::scheduler> scheduler;
@@ -110,7 +113,7 @@
   void ApplyHostRecord(state& s, const stream_record& record);
   void StepDown(state& s, std::uint64_t epoch, std::string_view cause, effects& out);
   void OnFencedOut(std::uint64_t epoch, std::string_view cause);
-  void Tick(std::uint64_t epoch);
+  void Tick(std::uint64_t epoch, time_point due);
   void CheckFence(std::uint64_t epoch);
   void OnFenceChecked(std::uint64_t epoch, errc code);
   void ScheduleTick(std::uint64_t epoch);
