--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -140,9 +140,8 @@
   const std::size_t needed = wanted.spec->gang ? step.tasks.size() : 1;
   if (capacity < needed) return "no room";
   if (wanted.NeedsAdvice() && approved_capacity < needed) {
-    const auto asked =
-        std::count_if(step.verdicts.begin(), step.verdicts.end(),
-                      [](const policy_verdict& verdict) { return verdict.known; });
+    const auto asked = std::count_if(step.verdicts.begin(), step.verdicts.end(),
+                                     [](const policy_verdict& verdict) { return verdict.known; });
     return "no room on approved hosts: " + std::to_string(approved_capacity) + " of " +
            std::to_string(needed) + " tasks fit, " + std::to_string(approved_hosts) + " of " +
            std::to_string(asked) + " hosts are approved";
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -437,22 +437,21 @@
   const std::int64_t busy_permille = s.busy * 1000 / std::max(interval, duration(1));
   s.busy = {};
   const cell::scheduler_summary now = s.scheduler->Summary();
-  log_.Write(event_number::kCellStatus, {{"epoch", s.epoch},
-                                         {"open_jobs", std::uint64_t{now.open_jobs}},
-                                         {"waiting_steps", std::uint64_t{now.waiting_steps}},
-                                         {"questions", std::uint64_t{now.advice_requests}},
-                                         {"runs", std::uint64_t{now.runs}},
-                                         {"hosts", std::uint64_t{now.hosts}},
-                                         {"unreachable", std::uint64_t{now.unreachable_hosts}},
-                                         {"kept", std::uint64_t{now.reserved_hosts}},
-                                         {"cores_milli", now.capacity.cores_milli},
-                                         {"taken_milli", now.allocated.cores_milli},
-                                         {"open_calls", std::uint64_t{s.open_calls.size()}},
-                                         {"append_age_ms",
-                                          Milliseconds(s.journal->OldestAppendAge(time))},
-                                         {"busy_permille", busy_permille},
-                                         {"tick_delay_ms",
-                                          Milliseconds(std::exchange(s.longest_tick_delay, {}))}});
+  log_.Write(event_number::kCellStatus,
+             {{"epoch", s.epoch},
+              {"open_jobs", std::uint64_t{now.open_jobs}},
+              {"waiting_steps", std::uint64_t{now.waiting_steps}},
+              {"questions", std::uint64_t{now.advice_requests}},
+              {"runs", std::uint64_t{now.runs}},
+              {"hosts", std::uint64_t{now.hosts}},
+              {"unreachable", std::uint64_t{now.unreachable_hosts}},
+              {"kept", std::uint64_t{now.reserved_hosts}},
+              {"cores_milli", now.capacity.cores_milli},
+              {"taken_milli", now.allocated.cores_milli},
+              {"open_calls", std::uint64_t{s.open_calls.size()}},
+              {"append_age_ms", Milliseconds(s.journal->OldestAppendAge(time))},
+              {"busy_permille", busy_permille},
+              {"tick_delay_ms", Milliseconds(std::exchange(s.longest_tick_delay, {}))}});
 }
 
 }  // namespace sycamorehinge::control
