cell: plan requests to the policy service by host, and keep long ones apart

The bound on open requests, 400 ms of service time for each machine, was sized for requests of 640 ms on 7 machines and 48 hosts; at 350 hosts a request takes up to 1.4 s, so 29 machines had 14 open. And every step asked about the same hosts, the emptiest ones (gangs) or the fullest that fit (tasks), so that most answers came too late for their capacity and were asked again. Change: each open request claims on its hosts what its step is expected to take there; other steps ask about hosts with room beside these claims. This replaces the bound by the free cores of the whole cell. A gang asks about all the hosts it needs at the same time, in parts of at most 100. Long requests have a bound of their own, by the time they wait, and leave a third of the machines to short ones; the router does the same. A ticket request for reserved capacity no longer ends with the answer to another request.

--- a/packages/cell/include/sycamorehinge/cell/actions.h
+++ b/packages/cell/include/sycamorehinge/cell/actions.h
@@ -2,6 +2,7 @@
 #ifndef SYCAMOREHINGE_CELL_ACTIONS_H_
 #define SYCAMOREHINGE_CELL_ACTIONS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -80,6 +81,15 @@
   std::uint32_t percent = 100;
 };
 
+// Requests to the policy service of at least this service time are long. They use only some of the
+// machines, so that short requests are answered in time.
+inline constexpr duration kLongAdviceRequest = std::chrono::milliseconds(300);
+
+// Returns how many of the machines may have long requests open at the same time.
+constexpr std::size_t MachinesForLongRequests(std::size_t machines) {
+  return std::max<std::size_t>(machines - machines / 3, 1);
+}
+
 // Asks the policy service which of the hosts may run the step.
 struct request_advice {
   std::uint64_t request_id = 0;
--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -46,9 +46,8 @@
   duration ticket_margin = std::chrono::milliseconds(200);
   // Maximum number of hosts in one request to the policy service.
   std::size_t max_hosts_per_advice_request = 100;
-  // Maximum total service time of open requests to the policy service, for each machine that sends
-  // them.
-  duration max_advice_backlog = std::chrono::milliseconds(400);
+  // Maximum time for which a request to the policy service waits for earlier ones.
+  duration max_advice_wait = std::chrono::milliseconds(400);
   // A gang that has waited this long requests advice on hosts without free capacity too.
   duration gang_advice_delay = std::chrono::milliseconds(400);
   // Time for which no tasks are placed on a host after failures that are probably its own fault.
--- a/packages/cell/src/advice.cc
+++ b/packages/cell/src/advice.cc
@@ -15,6 +15,9 @@
 // Requests cover more hosts than needed, since some lose their free capacity before the answer.
 constexpr double kRequestMargin = 1.3;
 constexpr std::size_t kMinHostsPerRequest = 4;
+constexpr std::size_t kMinHostsPerGangRequest = 30;
+// A gang asks about hosts that could run this multiple of its members if they were empty.
+constexpr double kKnownCapacity = 3;
 // Delay before the next request after one without an answer.
 constexpr duration kNoAnswerDelay = std::chrono::milliseconds(300);
 // Delay after an answer before the same step sends another request.
@@ -25,24 +28,25 @@
 
 }  // namespace
 
-// Limits open requests by the service time they take and by the free cores they compete for.
-// Without the first limit, answers arrive too late to be used; without the second, many steps
-// request advice for the same capacity and only one of them can use it.
-bool scheduler::state::MayRequestAdvice(const demand& wanted, std::uint32_t tasks,
-                                        duration cost) const {
-  const auto clients = static_cast<std::int64_t>(policy_clients);
-  const duration backlog = options.max_advice_backlog * clients;
+// Limits the time for which a request waits before the policy service handles it, since a ticket
+// that arrives late cannot be used. Each machine handles one request at a time.
+bool scheduler::state::MayRequestAdvice(const demand& wanted, duration cost) const {
+  const bool is_long = cost >= kLongAdviceRequest;
+  const duration pending = pending_advice_time[is_long];
+  if (pending == duration::zero()) return true;
+  const auto machines = static_cast<std::int64_t>(MachinesForLongRequests(policy_clients));
+  if (is_long) return pending + cost <= (options.max_advice_wait + cost) * machines;
+  const duration limit =
+      options.max_advice_wait *
+      std::max<std::int64_t>(static_cast<std::int64_t>(policy_clients) - machines, 1);
   // The highest priority gets half as much again, so that other queues cannot exhaust its share.
-  const duration limit = wanted.queue->priority == 0 ? backlog * 3 / 2 : backlog;
-  if (pending_advice_time > duration::zero() && pending_advice_time + cost > limit) return false;
-  return pending_advice_cores == 0 ||
-         pending_advice_cores + wanted.task_size.cores_milli * tasks <= free_cores;
+  return pending + cost <= (wanted.queue->priority == 0 ? limit * 3 / 2 : limit);
 }
 
 void scheduler::state::RequestAdviceForTasks(const task_ref& ref, const demand& wanted,
                                              step_state& step, std::uint32_t tasks) {
-  if (step.advice_request != 0 || now < step.next_advice_at) return;
-  if (!MayRequestAdvice(wanted, tasks, wanted.queue->advice->decision_time)) return;
+  if (!step.advice_requests.empty() || now < step.next_advice_at) return;
+  if (!MayRequestAdvice(wanted, wanted.queue->advice->decision_time)) return;
   step.verdicts.resize(hosts.size());
   struct candidate {
     bool known;
@@ -54,7 +58,7 @@
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
     const policy_verdict& verdict = step.verdicts[slot];
     if (verdict.known && (!verdict.approved || TicketHolds(step, slot))) continue;
-    const std::uint32_t copies = FitCount(wanted, slot, false);
+    const std::uint32_t copies = UnclaimedCopies(wanted, slot);
     if (copies > 0) {
       candidates.push_back({verdict.known, hosts[slot].Free().cores_milli, slot, copies});
     }
@@ -70,85 +74,107 @@
     chosen.push_back(next.slot);
     expected += next.known ? next.copies : rate * next.copies;
   }
-  RequestAdvice(ref, wanted, step, std::move(chosen), tasks);
+  RequestAdvice(ref, wanted, step, chosen, tasks);
 }
 
+// Requests tickets for approved hosts that fit the gang, and reserves the capacity meanwhile. If
+// none do, requests advice on more hosts.
 void scheduler::state::RequestAdviceForGang(const task_ref& ref, const demand& wanted,
                                             step_state& step) {
-  if (step.advice_request != 0 || now < step.next_advice_at) return;
-  const auto members = static_cast<std::uint32_t>(step.tasks.size());
-  if (!MayRequestAdvice(wanted, members, wanted.queue->advice->decision_time)) return;
+  if (!step.reserved_capacity.empty() || now < step.next_advice_at) return;
+  if (!MayRequestAdvice(wanted, wanted.queue->advice->decision_time)) return;
   step.verdicts.resize(hosts.size());
-  // If approved hosts have enough free capacity, reserves it while the policy service issues their
-  // tickets.
   const auto chosen = ChooseGangHosts(wanted, false);
   if (chosen.empty()) return RequestAdviceForUnknownHosts(ref, wanted, step);
   std::vector<host_slot> slots;
   slots.reserve(chosen.size());
   for (const auto& [slot, count] : chosen) slots.push_back(slot);
-  if (!RequestAdvice(ref, wanted, step, std::move(slots), members)) return;
-  ReleaseReservedCapacity(step, *wanted.spec);
+  if (!RequestAdvice(ref, wanted, step, slots, 0)) return;
+  advice_requests.at(step.advice_requests.back()).reserves_capacity = true;
   ReserveCapacity(step, *wanted.spec, chosen);
 }
 
-// Requests advice on hosts for which the policy service has not answered yet. If enough of them are
-// expected to be approved for the gang to fit, requests advice only on those with the most free
-// cores. Otherwise waits for `gang_advice_delay` and then requests advice on all of them, so that
-// hosts can be reserved.
+// Requests advice on hosts for which the policy service has not answered yet, those with the most
+// free cores first. If the gang is expected to fit on them, requests advice on as many as it needs
+// now; otherwise, after `gang_advice_delay`, on enough that it fits once other tasks have ended.
 void scheduler::state::RequestAdviceForUnknownHosts(const task_ref& ref, const demand& wanted,
                                                     step_state& step) {
-  const auto members = static_cast<std::uint32_t>(step.tasks.size());
+  if (!step.advice_requests.empty()) return;
+  const auto members = static_cast<double>(step.tasks.size());
+  const double rate = std::max(approval[wanted.queue->name].average, kMinApprovalRate);
   struct candidate {
     std::int64_t free;
     host_slot slot;
     std::uint32_t copies;
+    std::uint32_t copies_when_empty;
   };
   std::vector<candidate> unknown;
-  double approved_capacity = 0;
-  double unknown_capacity = 0;
+  // Expected numbers of members that fit now and on empty hosts, on hosts asked about and on all.
+  double fit = 0;
+  double fit_when_empty = 0;
+  double total_fit = 0;
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
     const policy_verdict& verdict = step.verdicts[slot];
     if (verdict.known && !verdict.approved) continue;
-    const std::uint32_t copies = FitCount(wanted, slot, false);
-    (verdict.known ? approved_capacity : unknown_capacity) += copies;
-    if (verdict.known || !IsUsable(hosts[slot])) continue;
-    if (!HasLabel(hosts[slot], wanted.spec->label)) continue;
-    unknown.push_back({hosts[slot].Free().cores_milli, slot, copies});
+    const host_state& host = hosts[slot];
+    if (!IsUsable(host) || !HasLabel(host, wanted.spec->label)) continue;
+    const double weight = verdict.known ? 1 : rate;
+    const std::uint32_t copies = UnclaimedCopies(wanted, slot);
+    const std::uint32_t copies_when_empty = CopiesThatFit(host.entry.capacity, wanted.task_size);
+    total_fit += weight * copies;
+    if (verdict.known || verdict.requested) {
+      fit += weight * copies;
+      fit_when_empty += weight * copies_when_empty;
+    } else {
+      unknown.push_back({host.Free().cores_milli, slot, copies, copies_when_empty});
+    }
   }
   std::sort(unknown.begin(), unknown.end(), [](const auto& a, const auto& b) {
-    return std::tie(b.free, a.slot) < std::tie(a.free, b.slot);
+    return std::tie(b.copies, b.free, a.slot) < std::tie(a.copies, a.free, b.slot);
   });
-  const double rate = std::max(approval[wanted.queue->name].average, kMinApprovalRate);
-  const bool promising = approved_capacity + rate * unknown_capacity >= members;
+  const bool promising = total_fit >= members;
   if (!promising && now - step.ready_since < options.gang_advice_delay) return;
   std::vector<host_slot> slots;
-  double expected = approved_capacity;
   for (const candidate& next : unknown) {
-    const bool enough = slots.size() >= kMinHostsPerRequest && expected >= kRequestMargin * members;
-    if (promising && enough) break;
+    const bool enough =
+        promising ? fit >= kRequestMargin * members : fit_when_empty >= kKnownCapacity * members;
+    if (enough && (slots.empty() || slots.size() >= kMinHostsPerGangRequest)) break;
     slots.push_back(next.slot);
-    expected += rate * next.copies;
+    fit += rate * next.copies;
+    fit_when_empty += rate * next.copies_when_empty;
+  }
+  std::span<const host_slot> left = slots;
+  while (!left.empty()) {
+    const auto part = left.first(std::min(left.size(), options.max_hosts_per_advice_request));
+    const std::size_t share = step.tasks.size() * part.size() / slots.size();
+    if (!RequestAdvice(ref, wanted, step, part, static_cast<std::uint32_t>(share))) return;
+    left = left.subspan(part.size());
   }
-  RequestAdvice(ref, wanted, step, std::move(slots), members);
 }
 
 bool scheduler::state::RequestAdvice(const task_ref& ref, const demand& wanted, step_state& step,
-                                     std::vector<host_slot> slots, std::uint32_t tasks) {
+                                     std::span<const host_slot> slots, std::uint32_t tasks) {
   if (slots.empty()) return false;
-  if (slots.size() > options.max_hosts_per_advice_request) {
-    slots.resize(options.max_hosts_per_advice_request);
-  }
+  slots = slots.first(std::min(slots.size(), options.max_hosts_per_advice_request));
   const advice_settings& advice = *wanted.queue->advice;
   const duration cost =
       advice.decision_time + advice.time_per_host * static_cast<std::int64_t>(slots.size());
-  if (!MayRequestAdvice(wanted, tasks, cost)) return false;
-  const std::int64_t cores = wanted.task_size.cores_milli * tasks;
+  if (!MayRequestAdvice(wanted, cost)) return false;
   request_advice ask{next_advice_request++, ref, {}, cost};
-  for (const host_slot slot : slots) ask.hosts.push_back(hosts[slot].entry.id);
-  step.advice_request = ask.request_id;
-  advice_requests[ask.request_id] = {ref, std::move(slots), cores, cost};
-  pending_advice_cores += cores;
-  pending_advice_time += cost;
+  std::vector<std::int64_t> expected;
+  std::int64_t total = 0;
+  for (const host_slot slot : slots) {
+    ask.hosts.push_back(hosts[slot].entry.id);
+    step.verdicts[slot].requested = true;
+    total += expected.emplace_back(UnclaimedCopies(wanted, slot));
+  }
+  for (std::size_t i = 0; i < slots.size(); ++i) {
+    expected[i] = total == 0 ? 0 : wanted.task_size.cores_milli * tasks * expected[i] / total;
+    hosts[slots[i]].expected_cores += expected[i];
+  }
+  step.advice_requests.push_back(ask.request_id);
+  advice_requests[ask.request_id] = {ref, {slots.begin(), slots.end()}, std::move(expected), cost};
+  pending_advice_time[cost >= kLongAdviceRequest] += cost;
   actions.emplace_back(std::move(ask));
   return true;
 }
@@ -159,8 +185,10 @@
   if (found == advice_requests.end()) return std::nullopt;
   advice_request_state removed = std::move(found->second);
   advice_requests.erase(found);
-  pending_advice_cores -= removed.cores;
-  pending_advice_time -= removed.cost;
+  for (std::size_t i = 0; i < removed.hosts.size(); ++i) {
+    hosts[removed.hosts[i]].expected_cores -= removed.expected_cores[i];
+  }
+  pending_advice_time[removed.cost >= kLongAdviceRequest] -= removed.cost;
   return removed;
 }
 
@@ -171,12 +199,12 @@
   const advice_request_state& sent = *found;
   job_entry* job = FindJob(sent.step.job);
   step_state* step = FindStep(sent.step);
-  if (!job || !step || step->advice_request != request) return;
-  step->advice_request = 0;
+  if (!job || !step || std::erase(step->advice_requests, request) == 0) return;
+  for (const host_slot slot : sent.hosts) step->verdicts[slot].requested = false;
   pass_needed = true;
   const queue_settings* queue = QueueOf(*job);
   if (!answered || !queue || !queue->advice) {
-    ReleaseReservedCapacity(*step, SpecOf(*job, sent.step.step));
+    if (sent.reserves_capacity) ReleaseReservedCapacity(*step, SpecOf(*job, sent.step.step));
     step->next_advice_at = now + kNoAnswerDelay;
     return;
   }
@@ -204,9 +232,10 @@
         kApprovalWeight * (static_cast<double>(fresh_approved) / static_cast<double>(fresh) - rate);
   }
   // The gang uses its reserved capacity now or releases it.
+  if (!sent.reserves_capacity) return;
   const task_ref& ref = sent.step;
   if (step->waiting && !step->reserved_capacity.empty()) PlaceGang(ref, *job, *step);
-  if (step->advice_request == 0) ReleaseReservedCapacity(*step, SpecOf(*job, ref.step));
+  ReleaseReservedCapacity(*step, SpecOf(*job, ref.step));
 }
 
 }  // namespace sycamorehinge::cell
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -230,7 +230,9 @@
   step_state& step = *FindStep(ref);
   ReleaseReservedCapacity(step, SpecOf(job, ref.step));
   ReleaseReservedHosts(step);
-  RemoveAdviceRequest(std::exchange(step.advice_request, 0));
+  for (const std::uint64_t request : std::exchange(step.advice_requests, {})) {
+    RemoveAdviceRequest(request);
+  }
   if (step.waiting) Dequeue(KeyOf({ref.job, ref.occurrence, ref.step, 0}, job), step);
 }
 
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -21,13 +21,6 @@
   return free < size ? 0 : free / size;
 }
 
-std::uint32_t CopiesThatFit(const resources& free, const resources& size) {
-  const std::int64_t copies = std::min({CountFitting(free.cores_milli, size.cores_milli),
-                                        CountFitting(free.memory_mb, size.memory_mb),
-                                        CountFitting(free.accelerators, size.accelerators)});
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(copies, 0));
-}
-
 bool FailedOn(const task_state& task, host_slot slot) {
   return std::find(task.failed_on.begin(), task.failed_on.end(), slot) != task.failed_on.end();
 }
@@ -42,6 +35,13 @@
 
 }  // namespace
 
+std::uint32_t CopiesThatFit(const resources& free, const resources& size) {
+  const std::int64_t copies = std::min({CountFitting(free.cores_milli, size.cores_milli),
+                                        CountFitting(free.memory_mb, size.memory_mb),
+                                        CountFitting(free.accelerators, size.accelerators)});
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(copies, 0));
+}
+
 resources ChargedResources(const step_spec& spec) {
   resources capacity = spec.size;
   if (spec.fills) capacity.cores_milli = 0;
@@ -126,7 +126,7 @@
     return "some hosts have not been polled yet";
   if (wanted.spec->gang && step.active_runs > 0)
     return "members of the previous run have not ended";
-  if (step.advice_request != 0) return "waiting for the policy service";
+  if (!step.advice_requests.empty()) return "waiting for the policy service";
   std::uint32_t capacity = 0;
   std::uint32_t approved_capacity = 0;
   std::uint32_t approved_hosts = 0;
@@ -194,6 +194,17 @@
   return copies;
 }
 
+// Returns how many tasks of the step fit on the host beside those that steps with open requests to
+// the policy service are expected to start there.
+std::uint32_t scheduler::state::UnclaimedCopies(const demand& wanted, host_slot slot) const {
+  const std::uint32_t copies = FitCount(wanted, slot, false);
+  const host_state& host = hosts[slot];
+  if (copies == 0 || host.expected_cores <= 0) return copies;
+  const resources left = {host.Free().cores_milli - host.expected_cores, host.Free().memory_mb,
+                          host.Free().accelerators, 0};
+  return std::min(copies, CopiesThatFit(left, wanted.task_size));
+}
+
 bool scheduler::state::TicketHolds(const step_state& step, host_slot slot) const {
   if (slot >= step.verdicts.size()) return false;
   const policy_verdict& verdict = step.verdicts[slot];
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -3,12 +3,14 @@
 #define SYCAMOREHINGE_CELL_SRC_STATE_H_
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -80,6 +82,8 @@
 // Answer of the policy service for one step on one host.
 struct policy_verdict {
   bool known = false;
+  // An open request covers the host.
+  bool requested = false;
   bool approved = false;
   std::string ticket;
   time_point valid_until;
@@ -95,8 +99,8 @@
   time_point wait_logged_at;
   // Indexed by host slot.
   std::vector<policy_verdict> verdicts;
-  // Number of the open request; 0 if there is none.
-  std::uint64_t advice_request = 0;
+  // Numbers of the open requests to the policy service.
+  std::vector<std::uint64_t> advice_requests;
   time_point next_advice_at;
   // Resources reserved while tickets for a gang are requested: host and number of tasks.
   std::vector<std::pair<host_slot, std::uint32_t>> reserved_capacity;
@@ -173,6 +177,8 @@
   // `reserved_priority` may use it meanwhile.
   const step_state* reserved_for = nullptr;
   std::uint32_t reserved_priority = 0;
+  // Thousandths of cores that steps with open requests to the policy service are expected to take.
+  std::int64_t expected_cores = 0;
 
   bool HasClock() const { return clock_ms != 0; }
   resources Free() const { return entry.capacity - allocated; }
@@ -202,9 +208,12 @@
 struct advice_request_state {
   task_ref step;
   std::vector<host_slot> hosts;
-  // Cores of the tasks that it covers, and estimated service time.
-  std::int64_t cores = 0;
+  // Thousandths of cores that the step is expected to take on each host, and estimated service
+  // time.
+  std::vector<std::int64_t> expected_cores;
   duration cost{};
+  // The step has reserved capacity on the hosts until the answer.
+  bool reserves_capacity = false;
 };
 
 // Moving average of the fraction of hosts that the policy service approves, for one queue.
@@ -215,6 +224,8 @@
 // Resources that a task is charged. A task with `fills` set is charged no cores, since it uses only
 // processor time that others leave.
 resources ChargedResources(const step_spec& spec);
+// Returns how many tasks of this size fit into the free resources.
+std::uint32_t CopiesThatFit(const resources& free, const resources& size);
 bool HasLabel(const host_state& host, const std::string& label);
 
 struct scheduler::state {
@@ -312,6 +323,7 @@
   bool MightFit(const demand& wanted) const;
   std::uint32_t FitCount(const demand& wanted, host_slot slot,
                          bool include_reserved_capacity) const;
+  std::uint32_t UnclaimedCopies(const demand& wanted, host_slot slot) const;
   bool TicketHolds(const step_state& step, host_slot slot) const;
   host_slot BestHost(const demand& wanted, const task_state& task) const;
   std::vector<std::pair<host_slot, std::uint32_t>> ChooseGangHosts(const demand& wanted,
@@ -330,8 +342,8 @@
   void RequestAdviceForGang(const task_ref& ref, const demand& wanted, step_state& step);
   void RequestAdviceForUnknownHosts(const task_ref& ref, const demand& wanted, step_state& step);
   bool RequestAdvice(const task_ref& ref, const demand& wanted, step_state& step,
-                     std::vector<host_slot> slots, std::uint32_t tasks);
-  bool MayRequestAdvice(const demand& wanted, std::uint32_t tasks, duration cost) const;
+                     std::span<const host_slot> slots, std::uint32_t tasks);
+  bool MayRequestAdvice(const demand& wanted, duration cost) const;
   std::optional<advice_request_state> RemoveAdviceRequest(std::uint64_t request);
   void OnAdvice(std::uint64_t request, bool answered,
                 std::span<const std::pair<host_id, std::string>> approved);
@@ -390,9 +402,8 @@
   std::unordered_map<std::uint64_t, advice_request_state> advice_requests;
   std::uint64_t next_advice_request = 1;
   std::size_t policy_clients = 1;
-  // Totals over the open advice requests.
-  std::int64_t pending_advice_cores = 0;
-  duration pending_advice_time{};
+  // Total service time of the open advice requests, indexed by whether they are long.
+  std::array<duration, 2> pending_advice_time{};
   std::unordered_map<std::string, approval_rate> approval;
 
   std::uint64_t sequence = 0;
--- /dev/null
+++ b/packages/cell/tests/grown_test.cc
@@ -0,0 +1,43 @@
+// The users' workload at 350 hosts, on the paused clock.
+#include <catch2/catch.hpp>
+
+#include "grown_workload.h"
+
+namespace sycamorehinge::cell::testing {
+namespace {
+
+using std::chrono::seconds;
+
+// A job must not wait longer while most of the capacity is free.
+constexpr duration kMaxIdleWait = seconds(3);
+
+// Two bursts on the load of the sheet, as on the users' quiet day.
+void SubmitDay(grown_workload& day) {
+  day.Submit(seconds(8));
+  day.Submit(seconds(4), {1, 1, 2});
+  day.Submit(seconds(6));
+  day.Submit(seconds(4), {2.5, 1, 1});
+  day.Submit(seconds(12));
+}
+
+// Guards against a backlog of gangs that is still waiting when most hosts are idle.
+TEST_CASE("No gang waits for long while most of 350 hosts are free") {
+  const std::uint64_t seed = GENERATE(1, 2);
+  CAPTURE(seed);
+  grown_workload day(seed);
+  SubmitDay(day);
+  duration idle_wait{};
+  duration longest{};
+  for (int i = 0; i < 300 && day.Unstarted() > 0; ++i) {
+    day.Run(milliseconds(100));
+    const bool idle = day.Unstarted() > 0 && 2 * day.RunningCores() < day.Cores();
+    idle_wait = idle ? idle_wait + milliseconds(100) : duration();
+    longest = std::max(longest, idle_wait);
+  }
+  CHECK(day.Unstarted() == 0);
+  CHECK(longest < kMaxIdleWait);
+  CHECK(day.Cell().violations.empty());
+}
+
+}  // namespace
+}  // namespace sycamorehinge::cell::testing
--- a/packages/cell/tests/simulated_cell.cc
+++ b/packages/cell/tests/simulated_cell.cc
@@ -116,6 +116,7 @@
   for (const auto& [key, record] : journal_) owner->Load(record);
   for (const auto& [name, host] : hosts) owner->SetHost(host.entry, now);
   owner->SetConfig(config_);
+  if (!policy_clients.empty()) owner->SetPolicyClientCount(policy_clients.size());
   owner->BeginTerm(owner->LoadedTerm() + 1, epoch_, now, wall_ms);
   PerformActions();
 }
@@ -477,7 +478,17 @@
 void simulated_cell::Advise(const request_advice& ask) {
   ++questions;
   max_open_advice_requests = std::max(max_open_advice_requests, ++open_advice_requests);
-  After(ask.service_time + kNetworkDelay, [this, epoch = epoch_, ask] {
+  duration delay = ask.service_time;
+  if (!policy_clients.empty()) {
+    const auto machines = static_cast<std::ptrdiff_t>(
+        ask.service_time < kLongAdviceRequest ? policy_clients.size()
+                                              : MachinesForLongRequests(policy_clients.size()));
+    time_point& busy_until =
+        *std::min_element(policy_clients.begin(), policy_clients.begin() + machines);
+    busy_until = std::max(busy_until, now) + ask.service_time;
+    delay = busy_until - now;
+  }
+  After(delay + kNetworkDelay, [this, epoch = epoch_, ask] {
     --open_advice_requests;
     if (epoch != epoch_ || !owner) return;
     std::vector<std::pair<host_id, std::string>> approved;
--- a/packages/cell/tests/simulated_cell.h
+++ b/packages/cell/tests/simulated_cell.h
@@ -105,6 +105,9 @@
   std::function<end_kind(const task_ref&, std::uint32_t run)> outcome;
   // Whether a host is approved for a step; all are by default.
   std::function<bool(const task_ref&, const host_id&)> approve;
+  // Times at which the policy service has answered all requests of a machine; it handles one
+  // request at a time for each. If empty, it answers any number of requests at the same time.
+  std::vector<time_point> policy_clients;
   std::map<std::string, fake_host> hosts;
   std::map<task_ref, task_history> tasks;
   std::vector<std::string> violations;
--- a/packages/control/src/advice_router.cc
+++ b/packages/control/src/advice_router.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "sycamorehinge/cell/actions.h"
+
 namespace sycamorehinge::control {
 
 advice_router::advice_router(member_info self) : self_(std::move(self)) { SetMember(self_); }
@@ -30,14 +32,19 @@
 }
 
 std::optional<member_info> advice_router::Choose(duration cost, time_point now) {
+  const bool is_long = cost >= cell::kLongAdviceRequest;
+  const auto with_long_calls = static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(),
+                    [&](const auto& row) { return now < row.second.long_until; }));
+  const bool may_add = with_long_calls < cell::MachinesForLongRequests(entries_.size());
   entry* best = nullptr;
   time_point best_time;
   for (auto& [name, row] : entries_) {
     if (now < row.paused_until || row.open_calls >= kMaxOpenCalls) continue;
     if (row.busy_until > now + kMaxBacklog) continue;
+    if (is_long && !may_add && now >= row.long_until) continue;
     const bool same_region = row.member.region == self_.region;
-    const duration penalty =
-        cost >= kLongCallCost && same_region ? kLongCallLocalPenalty : duration();
+    const duration penalty = is_long && same_region ? kLongCallLocalPenalty : duration();
     const time_point ready = std::max(row.busy_until, now) + row.round_trip + penalty;
     if (best && ready >= best_time) continue;
     best = &row;
@@ -45,6 +52,7 @@
   }
   if (!best) return std::nullopt;
   best->busy_until = std::max(best->busy_until, now) + cost;
+  if (is_long) best->long_until = best->busy_until;
   ++best->open_calls;
   return best->member;
 }
--- a/packages/control/src/advice_router.h
+++ b/packages/control/src/advice_router.h
@@ -19,10 +19,8 @@
   // Round trip to another machine; added to its queueing time when machines are compared.
   static constexpr duration kSameRegionRoundTrip = std::chrono::milliseconds(4);
   static constexpr duration kOtherRegionRoundTrip = std::chrono::milliseconds(60);
-  // Calls of at least this cost prefer machines in other regions: they would delay short calls
-  // here, and a long round trip matters less to them. The penalty is added to machines in this
-  // region.
-  static constexpr duration kLongCallCost = std::chrono::milliseconds(150);
+  // Long calls prefer machines in other regions: they would delay short calls here, and a long
+  // round trip matters less to them. The penalty is added to machines in this region.
   static constexpr duration kLongCallLocalPenalty = std::chrono::milliseconds(500);
   // Backoff for a machine that gave no answer; doubles with each failure in a row.
   static constexpr duration kMinPause = std::chrono::seconds(1);
@@ -40,7 +38,7 @@
   void SetMembers(std::span<const member_info> members);
 
   // Returns the machine with the earliest expected answer and adds `cost` to its load; nullopt if
-  // all machines are at their limits or paused.
+  // all machines are at their limits or paused. Long calls keep off some of the machines.
   std::optional<member_info> Choose(duration cost, time_point now);
   // Records the end of a call; any error other than kOverloaded counts as no answer.
   void OnFinished(std::string_view name, errc code, time_point now);
@@ -51,6 +49,8 @@
     duration round_trip{};
     // Expected time of the answer to the last call given to it.
     time_point busy_until;
+    // Expected time of the answer to the last long call given to it.
+    time_point long_until;
     time_point paused_until;
     duration pause{};
     std::uint32_t open_calls = 0;
