--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -111,6 +111,8 @@
               time_point now, std::int64_t wall_ms);
   void Cancel(call_number call, job_number job, std::int64_t wall_ms);
   void State(call_number call, job_number job);
+  // Returns whether the job was submitted before, and has not been removed since.
+  bool Knows(job_number job) const;
   void Pending(call_number call, std::string_view queue);
 
   // --- results of actions ---
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -87,6 +87,8 @@
 
 void scheduler::State(call_number call, job_number job) { state_->State(call, job); }
 
+bool scheduler::Knows(job_number job) const { return state_->jobs.contains(job); }
+
 void scheduler::Pending(call_number call, std::string_view queue) { state_->Pending(call, queue); }
 
 void scheduler::OnPollResult(const host_id& host, time_point sent, call_outcome outcome,
--- a/packages/control/include/sycamorehinge/control/control_node.h
+++ b/packages/control/include/sycamorehinge/control/control_node.h
@@ -76,8 +76,9 @@
   control_node& operator=(const control_node&) = delete;
 
   void Start();
-  // Calls `reply` exactly once, at the latest at `deadline`. Errors: kNotReady and kOverloaded (the
-  // call had no effect), kOutcomeUnknown (it may have had an effect), kUnknownJob, kMalformed.
+  // Calls `reply` exactly once, at the latest at `deadline`. Errors: kNotReady, kLogUnavailable and
+  // kOverloaded (the call had no effect), kOutcomeUnknown (it may have had an effect), kUnknownJob,
+  // kMalformed.
   void Call(peer_call call, time_point deadline, call_reply reply);
   // Handles a call from another process. Answers kNotOwner with the newest known owner if this
   // process does not own the cell.
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -19,9 +19,16 @@
 constexpr duration kOfferInterval = std::chrono::milliseconds(500);
 // A live process that claims the cell has fenced the previous owner within this time.
 constexpr duration kClaimGracePeriod = std::chrono::milliseconds(1500);
+constexpr duration kMinOutageRetry = std::chrono::milliseconds(1000);
+constexpr duration kMaxOutageRetry = std::chrono::milliseconds(3000);
 
 std::int64_t Milliseconds(duration time) { return time.count() / 1000; }
 
+// Callers come back soon after a short outage, and later the longer it lasts.
+duration RetryAfterOutage(duration outage) {
+  return std::clamp<duration>(outage / 2, kMinOutageRetry, kMaxOutageRetry);
+}
+
 }  // namespace
 
 cell_owner::cell_owner(const ports& port, const control_options& options, decision_log& log,
@@ -370,9 +377,17 @@
                      [reply = std::move(reply)] { reply(ErrorAnswer(errc::kNotOwner)); }});
       return;
     }
+    const time_point now = port_.now();
+    const auto* submitted = std::get_if<submit_call>(&call);
+    const duration outage = s.journal->OutageAge(now);
+    if (submitted && outage > duration::zero() && !s.scheduler->Knows(submitted->job)) {
+      out.push_back({s.epoch, std::nullopt, [reply = std::move(reply), outage] {
+                       reply(ErrorAnswer(errc::kLogUnavailable, RetryAfterOutage(outage)));
+                     }});
+      return;
+    }
     const cell::call_number number = s.next_call++;
     s.open_calls.emplace(number, std::move(reply));
-    const time_point now = port_.now();
     std::visit(
         overloaded{
             [&](const submit_call& submit) {
--- a/packages/control/src/journal_writer.cc
+++ b/packages/control/src/journal_writer.cc
@@ -14,7 +14,13 @@
 constexpr std::uint32_t kMaxBackoffShift = 3;
 // A near store answers in 4 ms, but either process may wait tens of milliseconds for a CPU.
 constexpr duration kMinRetryDelay = std::chrono::milliseconds(80);
-constexpr duration kMaxRetryDelay = std::chrono::milliseconds(1200);
+// Bounds the time for which records wait once the store is back.
+constexpr duration kMaxRetryDelay = std::chrono::milliseconds(400);
+constexpr duration kMaxFirstRetryDelay = std::chrono::milliseconds(1200);
+// Time after which an append that fails, or one without an answer, means an outage. A slow store
+// answers in 400 ms.
+constexpr duration kFailingLimit = std::chrono::milliseconds(300);
+constexpr duration kSilentLimit = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -60,8 +66,9 @@
 
 duration journal_writer::RetryDelay(std::uint32_t attempt) const {
   const duration first =
-      std::clamp(answer_time_ * kRetryAnswerTimes, kMinRetryDelay, kMaxRetryDelay);
-  return std::min(first * (1 << std::min(attempt - 1, kMaxBackoffShift)), kMaxRetryDelay);
+      std::clamp(answer_time_ * kRetryAnswerTimes, kMinRetryDelay, kMaxFirstRetryDelay);
+  return std::min(first * (1 << std::min(attempt - 1, kMaxBackoffShift)),
+                  std::max(first, kMaxRetryDelay));
 }
 
 void journal_writer::UpdateAnswerTime(time_point sent) {
@@ -86,6 +93,13 @@
   return sending_ ? now - batch_started_ : duration();
 }
 
+duration journal_writer::OutageAge(time_point now) {
+  const std::lock_guard lock(mutex_);
+  if (!sending_) return {};
+  const duration age = now - batch_started_;
+  return age >= (available_ ? kSilentLimit : kFailingLimit) ? age : duration();
+}
+
 void journal_writer::Stop() {
   const std::lock_guard lock(mutex_);
   stopped_ = true;
--- a/packages/control/src/journal_writer.h
+++ b/packages/control/src/journal_writer.h
@@ -43,6 +43,9 @@
   void Add(std::uint64_t sequence, const cell::journal_record& record);
   // Time since the first attempt of the append in flight; zero if there is none.
   duration OldestAppendAge(time_point now);
+  // Returns how long the store has stored nothing, if a record added now would probably not become
+  // durable soon; otherwise zero.
+  duration OutageAge(time_point now);
   // Drops pending records; their handlers do not run.
   void Stop();
 
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -291,6 +291,38 @@
   CHECK(group.Call("p0", Job(2)) == errc::kOutcomeUnknown);
 }
 
+// Guards against submissions that wait in an outage of the store until their caller gives up, and
+// then end as unknown although they were never sent to the journal.
+TEST_CASE("In an outage of the store the owner refuses new jobs at once and keeps known ones") {
+  cluster group(2);
+  group.store.Run(seconds(3));
+  REQUIRE(group.OwnerName() == "p0");
+  REQUIRE(group.Call("p0", Job(1)) == errc::kOk);
+  group.store.available = false;
+  errc first = errc::kInternal;
+  group.nodes["p1"]->Call(Job(2), group.store.now + seconds(10),
+                          [&first](const peer_answer& answer) { first = answer.code; });
+  group.store.Run(milliseconds(1100));
+  std::vector<peer_answer> answers;
+  for (const std::string name : {"p0", "p1"}) {
+    group.nodes[name]->Call(Job(3), group.store.now + seconds(3),
+                            [&answers](const peer_answer& answer) { answers.push_back(answer); });
+  }
+  group.store.Run(milliseconds(20));
+  REQUIRE(answers.size() == 2);
+  for (const peer_answer& answer : answers) {
+    CHECK(answer.code == errc::kLogUnavailable);
+    CHECK(answer.retry_after >= seconds(1));
+  }
+  // Jobs that are known are not refused: one is accepted, the other may be in the journal.
+  CHECK(group.Call("p0", Job(1), milliseconds(100)) == errc::kOk);
+  CHECK(group.Call("p0", Job(2), milliseconds(100)) == errc::kOutcomeUnknown);
+  group.store.available = true;
+  group.store.Run(seconds(2));
+  CHECK(first == errc::kOk);
+  CHECK(group.Call("p1", Job(3)) == errc::kOk);
+}
+
 // Guards against an older configuration replacing a newer one, and against applying a malformed
 // one.
 TEST_CASE("Versions of the configuration only rise") {
