--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -34,6 +34,9 @@
   // Minimum time between the answer to a poll and the next poll, so that one poll returns several
   // ends.
   duration min_poll_interval = std::chrono::milliseconds(60);
+  // Interval between polls of a host whose last ends are not in the journal yet. It answers such a
+  // poll at once, with the same ends again.
+  duration unjournaled_poll_interval = std::chrono::milliseconds(300);
   // Delay before an unreachable host is polled again. It grows by this amount with each failure, up
   // to `max_poll_retry_delay`.
   duration poll_retry_delay = std::chrono::milliseconds(200);
--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -106,10 +106,8 @@
   if (!host.listed && host.polled && host.runs.empty() && host.orphan_runs == 0)
     RemoveHostRecord(host);
   if (host.poll_open || !NeedsPoll(host) || now < host.next_poll) return;
-  // Until the journal holds the last ends, the host would answer a poll immediately with the same
-  // ends, so polls are sent only to renew the lease.
   const bool journal_behind = !host.unjournaled_ends.empty();
-  if (journal_behind && now < host.poll_sent + options.lease / 4) return;
+  if (journal_behind && now < host.poll_sent + options.unjournaled_poll_interval) return;
   // The acknowledgement to an idle host is delayed, since the poll after another start can carry
   // it.
   const bool only_tells = host.polled && host.runs.empty() && host.orphan_runs == 0 &&
--- a/packages/cell/tests/scheduler_test.cc
+++ b/packages/cell/tests/scheduler_test.cc
@@ -319,5 +319,20 @@
   CHECK(cell.Phase(6) == job_phase::kCompleted);
 }
 
+// Guards against capacity that stays taken after its tasks have ended, since the host is not polled
+// until a slow journal holds earlier ends.
+TEST_CASE("Accepted jobs run one after the other while the journal is unavailable") {
+  simulated_cell cell;
+  StartCell(cell, 1);
+  for (job_number job = 1; job <= 4; ++job) {
+    cell.Submit(job, "q", OneStep(1, 8000, milliseconds(200)));
+  }
+  REQUIRE(cell.RunUntil([&] { return cell.Running(1) == 1; }, seconds(1)));
+  cell.journal_available = false;
+  cell.Run(seconds(2));
+  CHECK(cell.Host("h0").starts == 4);
+  CHECK(cell.violations.empty());
+}
+
 }  // namespace
 }  // namespace sycamorehinge::cell::testing
