control: answer open calls before a draining process exits

Cause: a draining process passed calls on until 0.9 s before the kill and then closed its servers with calls open. Change: 1.2 s before the kill all open calls end, as not ready or as unknown if they may have had an effect, and later ones at once; the answers have 200 ms to leave. Evidence: node_test 'A process that exits answers its open calls and refuses later ones at once' (EndCalls did not exist).

--- a/packages/control/include/sycamorehinge/control/control_node.h
+++ b/packages/control/include/sycamorehinge/control/control_node.h
@@ -90,6 +90,9 @@
   bool Ready() const;
   // Gives up the cell and leaves the group; calls are still forwarded to the owner.
   void Drain();
+  // Ends all open calls, and every later one at once, so that each has an answer before the process
+  // exits.
+  void EndCalls();
   control_summary Summary() const;
 
  private:
--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -42,6 +42,7 @@
     open.arrived = now;
     open.deadline = deadline;
     open.reply = std::move(reply);
+    if (state.closed) return GiveUp(state, id, out);
     out.push_back([this, id, deadline] { port_.run_at(deadline, [this, id] { OnDeadline(id); }); });
     SendAttempt(state, id, out);
   });
@@ -114,13 +115,24 @@
 void call_router::OnDeadline(std::uint64_t id) {
   Update([&](routing_state& state, effects& out) {
     const auto found = state.calls.find(id);
-    if (found == state.calls.end()) return;
-    const open_call& open = found->second;
-    const bool unknown = (open.may_have_effect || open.in_flight) && !IsRead(*open.call);
-    Refuse(state, id, unknown ? errc::kOutcomeUnknown : errc::kNotReady, out);
+    if (found != state.calls.end()) GiveUp(state, id, out);
+  });
+}
+
+void call_router::Close() {
+  Update([&](routing_state& state, effects& out) {
+    state.closed = true;
+    while (!state.calls.empty()) GiveUp(state, state.calls.begin()->first, out);
   });
 }
 
+// Ends a call without an answer of the owner; the error tells whether it may have had an effect.
+void call_router::GiveUp(routing_state& state, std::uint64_t id, effects& out) {
+  const open_call& open = state.calls.at(id);
+  const bool unknown = (open.may_have_effect || open.in_flight) && !IsRead(*open.call);
+  Refuse(state, id, unknown ? errc::kOutcomeUnknown : errc::kNotReady, out);
+}
+
 void call_router::Refuse(routing_state& state, std::uint64_t id, errc code, effects& out) {
   const open_call& open = state.calls.at(id);
   out.push_back([this, call = open.call, code, held = port_.now() - open.arrived,
--- a/packages/control/src/call_router.h
+++ b/packages/control/src/call_router.h
@@ -54,6 +54,8 @@
   // Processes to ask for the owner while none is known.
   void SetPeers(std::vector<std::string> addresses);
   std::size_t OpenCallCount() const;
+  // Ends all open calls, and every later one at once, before the process exits.
+  void Close();
   // False while calls have been failing for longer than `failure_limit`.
   bool Reachable() const;
 
@@ -75,6 +77,7 @@
     std::size_t next_peer = 0;
     std::unordered_map<std::uint64_t, open_call> calls;
     std::uint64_t next_call = 1;
+    bool closed = false;
     // First failed attempt since the last answer; max() if none.
     time_point failing_since = time_point::max();
   };
@@ -89,6 +92,7 @@
   void OnDeadline(std::uint64_t id);
   void Finish(routing_state& state, std::uint64_t id, peer_answer answer, effects& out);
   void Refuse(routing_state& state, std::uint64_t id, errc code, effects& out);
+  void GiveUp(routing_state& state, std::uint64_t id, effects& out);
   // True if `owner` is newer than the known one; retries waiting calls then.
   bool UpdateOwner(routing_state& state, const owner_info& owner, effects& out);
 
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -165,6 +165,8 @@
   p.group->Leave();
 }
 
+void control_node::EndCalls() { parts_->router.Close(); }
+
 control_summary control_node::Summary() const {
   const parts& p = *parts_;
   control_summary summary;
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -111,6 +111,22 @@
   CHECK(group.Call("p0", Job(1)) == errc::kOk);
 }
 
+// Guards against calls that are cut without an answer when a draining process exits.
+TEST_CASE("A process that exits answers its open calls and refuses later ones at once") {
+  cluster group(1);
+  group.store.available = false;
+  std::vector<errc> answers;
+  const auto record = [&answers](const peer_answer& answer) { answers.push_back(answer.code); };
+  group.nodes["p0"]->Call(Job(1), group.store.now + seconds(10), record);
+  group.nodes["p0"]->Call(job_state_call{2}, group.store.now + seconds(10), record);
+  group.store.Run(milliseconds(500));
+  REQUIRE(answers.empty());
+  group.nodes["p0"]->Drain();
+  group.nodes["p0"]->EndCalls();
+  group.nodes["p0"]->Call(Job(3), group.store.now + seconds(10), record);
+  CHECK(answers == std::vector<errc>(3, errc::kNotReady));
+}
+
 // Guards against a former owner that reconnects to the store after a takeover and keeps acting as
 // the owner.
 TEST_CASE("An owner that was cut off from the store is fenced and rejoins as the newest member") {
--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -14,7 +14,9 @@
 constexpr duration kDrainLeast = std::chrono::milliseconds(2300);
 constexpr duration kDrainPoll = std::chrono::milliseconds(50);
 // Time kept for the end of the process before it is killed.
-constexpr duration kDrainReserve = std::chrono::milliseconds(900);
+constexpr duration kDrainReserve = std::chrono::milliseconds(1200);
+// Time to send the last answers.
+constexpr duration kLastAnswerTime = std::chrono::milliseconds(200);
 // A reader of the log that takes longer loses the last lines.
 constexpr std::chrono::milliseconds kFlushTime{300};
 constexpr duration kSettingsInterval = std::chrono::seconds(2);
@@ -193,7 +195,8 @@
   FinishDrain();
 }
 
-// Ends when no call is open any more and no new ones can come, or when time is up.
+// Ends when no call is open any more and no new ones can come, or when time is up. Calls that are
+// still open then are answered first.
 void platform_process::FinishDrain() {
   const duration spent = Now(clock_) - draining_since_;
   const bool idle = spent >= kDrainLeast && node_->Summary().open_calls == 0;
@@ -201,8 +204,11 @@
     timers_->ScheduleAfter(kDrainPoll, [this] { FinishDrain(); });
     return;
   }
-  events_.Write(event_number::kDrainFinished);
-  stop_();
+  node_->EndCalls();
+  timers_->ScheduleAfter(kLastAnswerTime, [this] {
+    events_.Write(event_number::kDrainFinished);
+    stop_();
+  });
 }
 
 // The file may change without a signal.
