--- a/packages/cell/src/advice.cc
+++ b/packages/cell/src/advice.cc
@@ -94,46 +94,60 @@
   ReserveCapacity(step, *wanted.spec, chosen);
 }
 
-// Requests advice on hosts for which the policy service has not answered yet, those with the most
-// free cores first. If the gang is expected to fit on them, requests advice on as many as it needs
-// now; otherwise, after `gang_advice_delay`, on enough that it fits once other tasks have ended.
+// Requests advice on hosts for which the policy service has not answered yet.
 void scheduler::state::RequestAdviceForUnknownHosts(const task_ref& ref, const demand& wanted,
                                                     step_state& step) {
   if (!step.advice_requests.empty()) return;
+  const std::vector<host_slot> slots = ChooseUnknownHosts(wanted);
+  std::span<const host_slot> left = slots;
+  while (!left.empty()) {
+    const auto part = left.first(std::min(left.size(), options.max_hosts_per_advice_request));
+    const std::size_t share = step.tasks.size() * part.size() / slots.size();
+    if (!RequestAdvice(ref, wanted, step, part, static_cast<std::uint32_t>(share))) return;
+    left = left.subspan(part.size());
+  }
+}
+
+// Chooses hosts to request advice on, those with the most free capacity first. If the gang is
+// expected to fit now, these are as many as it needs now; otherwise, after `gang_advice_delay`, as
+// many as it needs once other tasks have ended.
+std::vector<host_slot> scheduler::state::ChooseUnknownHosts(const demand& wanted) const {
+  const step_state& step = *wanted.step;
   const auto members = static_cast<double>(step.tasks.size());
-  const double rate = std::max(approval[wanted.queue->name].average, kMinApprovalRate);
+  const auto found = approval.find(wanted.queue->name);
+  const double rate = std::max((found == approval.end() ? approval_rate() : found->second).average,
+                               kMinApprovalRate);
   struct candidate {
+    std::uint32_t copies;
     std::int64_t free;
     host_slot slot;
-    std::uint32_t copies;
     std::uint32_t copies_when_empty;
   };
   std::vector<candidate> unknown;
-  // Expected numbers of members that fit now and on empty hosts, on hosts asked about and on all.
+  // Members that are expected to fit now, and on empty hosts, where the service approves.
   double fit = 0;
   double fit_when_empty = 0;
-  double total_fit = 0;
+  double fit_on_unknown = 0;
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
     const policy_verdict& verdict = step.verdicts[slot];
-    if (verdict.known && !verdict.approved) continue;
     const host_state& host = hosts[slot];
+    if (verdict.known && !verdict.approved) continue;
     if (!IsUsable(host) || !HasLabel(host, wanted.spec->label)) continue;
-    const double weight = verdict.known ? 1 : rate;
     const std::uint32_t copies = UnclaimedCopies(wanted, slot);
     const std::uint32_t copies_when_empty = CopiesThatFit(host.entry.capacity, wanted.task_size);
-    total_fit += weight * copies;
-    if (verdict.known || verdict.requested) {
-      fit += weight * copies;
-      fit_when_empty += weight * copies_when_empty;
+    if (verdict.known) {
+      fit += copies;
+      fit_when_empty += copies_when_empty;
     } else {
-      unknown.push_back({host.Free().cores_milli, slot, copies, copies_when_empty});
+      fit_on_unknown += rate * copies;
+      unknown.push_back({copies, host.Free().cores_milli, slot, copies_when_empty});
     }
   }
   std::sort(unknown.begin(), unknown.end(), [](const auto& a, const auto& b) {
     return std::tie(b.copies, b.free, a.slot) < std::tie(a.copies, a.free, b.slot);
   });
-  const bool promising = total_fit >= members;
-  if (!promising && now - step.ready_since < options.gang_advice_delay) return;
+  const bool promising = fit + fit_on_unknown >= members;
+  if (!promising && now - step.ready_since < options.gang_advice_delay) return {};
   std::vector<host_slot> slots;
   for (const candidate& next : unknown) {
     const bool enough =
@@ -143,13 +157,7 @@
     fit += rate * next.copies;
     fit_when_empty += rate * next.copies_when_empty;
   }
-  std::span<const host_slot> left = slots;
-  while (!left.empty()) {
-    const auto part = left.first(std::min(left.size(), options.max_hosts_per_advice_request));
-    const std::size_t share = step.tasks.size() * part.size() / slots.size();
-    if (!RequestAdvice(ref, wanted, step, part, static_cast<std::uint32_t>(share))) return;
-    left = left.subspan(part.size());
-  }
+  return slots;
 }
 
 bool scheduler::state::RequestAdvice(const task_ref& ref, const demand& wanted, step_state& step,
@@ -165,7 +173,6 @@
   std::int64_t total = 0;
   for (const host_slot slot : slots) {
     ask.hosts.push_back(hosts[slot].entry.id);
-    step.verdicts[slot].requested = true;
     total += expected.emplace_back(UnclaimedCopies(wanted, slot));
   }
   for (std::size_t i = 0; i < slots.size(); ++i) {
@@ -200,7 +207,6 @@
   job_entry* job = FindJob(sent.step.job);
   step_state* step = FindStep(sent.step);
   if (!job || !step || std::erase(step->advice_requests, request) == 0) return;
-  for (const host_slot slot : sent.hosts) step->verdicts[slot].requested = false;
   pass_needed = true;
   const queue_settings* queue = QueueOf(*job);
   if (!answered || !queue || !queue->advice) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -82,8 +82,6 @@
 // Answer of the policy service for one step on one host.
 struct policy_verdict {
   bool known = false;
-  // An open request covers the host.
-  bool requested = false;
   bool approved = false;
   std::string ticket;
   time_point valid_until;
@@ -364,6 +362,7 @@
                              std::uint32_t tasks);
   void RequestAdviceForGang(const task_ref& ref, const demand& wanted, step_state& step);
   void RequestAdviceForUnknownHosts(const task_ref& ref, const demand& wanted, step_state& step);
+  std::vector<host_slot> ChooseUnknownHosts(const demand& wanted) const;
   bool RequestAdvice(const task_ref& ref, const demand& wanted, step_state& step,
                      std::span<const host_slot> slots, std::uint32_t tasks);
   bool MayRequestAdvice(const demand& wanted, duration cost) const;
--- a/packages/cell/tests/grown_workload.cc
+++ b/packages/cell/tests/grown_workload.cc
@@ -33,7 +33,7 @@
   bool gang;
 };
 
-const std::array<class_spec, kJobClasses> kClasses = {
+constexpr std::array<class_spec, kJobClasses> kClasses = {
     class_spec{"settlement",
                1,
                2.2,
