cell: keep no capacity back while half of the cell is free

On hosts that are each half taken no piece may be large enough, and small tasks would wait although most of the capacity is free. Change: the headroom applies only while more than half of the capacity is taken.

--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -87,8 +87,8 @@
 }
 
 // Computes for each priority what its steps leave free for more urgent ones: what those start
-// within `kHeadroomTime`. Otherwise a long task takes the capacity that an urgent one needs at
-// once.
+// within `kHeadroomTime`, since a long task would take the capacity that an urgent one needs at
+// once, and what their gangs wait for, since a gang needs all of it at the same time.
 void scheduler::state::UpdateHeadroom() {
   DecayStartRates();
   for (const queue_settings& queue : config->queues) start_rates[queue.priority];
@@ -99,18 +99,17 @@
   for (const auto& [priority, rate] : start_rates) {
     headroom& row = headrooms[priority];
     const double size = std::max(more_urgent.cores_milli / std::max(more_urgent.tasks, 1.0), 1.0);
-    double capacity = 0;
     for (const host_state& host : hosts) {
       if (!IsUsable(host)) continue;
-      capacity += static_cast<double>(host.entry.capacity.cores_milli);
+      row.capacity += static_cast<double>(host.entry.capacity.cores_milli);
       row.available += size * std::floor(static_cast<double>(host.Free().cores_milli) / size);
     }
-    row.needed_by_gangs = std::min(waiting_gangs, capacity * kMaxGangHeadroom);
+    row.needed_by_gangs = std::min(waiting_gangs, row.capacity * kMaxGangHeadroom);
     if (more_urgent.tasks >= 1) {
       const double started =
           more_urgent.cores_milli / std::chrono::duration<double>(kStartRateTime).count();
       row.needed = std::min(started * std::chrono::duration<double>(kHeadroomTime).count(),
-                            capacity * kMaxHeadroom);
+                            row.capacity * kMaxHeadroom);
     }
     more_urgent.cores_milli += rate.cores_milli;
     more_urgent.tasks += rate.tasks;
@@ -138,6 +137,8 @@
   const auto found = headrooms.find(wanted.queue->priority);
   if (found == headrooms.end()) return true;
   const headroom& row = found->second;
+  // No piece may be large enough although most of the capacity is free.
+  if (2 * static_cast<double>(free_cores) > row.capacity) return true;
   const bool can_wait = now + kMinSlack < wanted.step->latest_start;
   return row.available >= row.needed + (can_wait ? row.needed_by_gangs : 0);
 }
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -228,8 +228,10 @@
   double needed = 0;
   // Thousandths of cores that more urgent gangs wait for.
   double needed_by_gangs = 0;
-  // Thousandths of cores that are free in pieces of the mean size of their tasks.
+  // Thousandths of cores that are free in pieces of the mean size of their tasks, and of all usable
+  // hosts.
   double available = 0;
+  double capacity = 0;
 };
 
 // Moving average of the fraction of hosts that the policy service approves, for one queue.
