--- a/packages/cell/src/advice.cc
+++ b/packages/cell/src/advice.cc
@@ -34,11 +34,10 @@
   const bool is_long = cost >= kLongAdviceRequest;
   const duration pending = pending_advice_time[is_long];
   if (pending == duration::zero()) return true;
-  const auto machines = static_cast<std::int64_t>(MachinesForLongRequests(policy_clients));
-  if (is_long) return pending + cost <= (options.max_advice_wait + cost) * machines;
-  const duration limit =
-      options.max_advice_wait *
-      std::max<std::int64_t>(static_cast<std::int64_t>(policy_clients) - machines, 1);
+  const auto all = static_cast<std::int64_t>(policy_clients);
+  const auto for_long = static_cast<std::int64_t>(MachinesForLongRequests(policy_clients));
+  if (is_long) return pending + cost <= (options.max_advice_wait + cost) * for_long;
+  const duration limit = options.max_advice_wait * std::max<std::int64_t>(all - for_long, 1);
   // The highest priority gets half as much again, so that other queues cannot exhaust its share.
   return pending + cost <= (wanted.queue->priority == 0 ? limit * 3 / 2 : limit);
 }
@@ -160,6 +159,8 @@
   return slots;
 }
 
+// Sends a request unless too many are open. `tasks` are those that the step is expected to start
+// with the answer; requests for reserved capacity expect none beside it.
 bool scheduler::state::RequestAdvice(const task_ref& ref, const demand& wanted, step_state& step,
                                      std::span<const host_slot> slots, std::uint32_t tasks) {
   if (slots.empty()) return false;
