--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -1,6 +1,5 @@
 // Placement of waiting tasks on hosts.
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -14,15 +13,6 @@
 // time spent in passes.
 constexpr duration kMinPassInterval = std::chrono::milliseconds(2);
 constexpr duration kPassIntervalPerStep = std::chrono::microseconds(60);
-// Decay time of the rates of task starts.
-constexpr duration kStartRateTime = std::chrono::seconds(1);
-// Time until the next capacity is freed for an urgent task.
-constexpr duration kHeadroomTime = std::chrono::milliseconds(350);
-// Largest headroom, as fractions of the capacity.
-constexpr double kMaxHeadroom = 0.1;
-constexpr double kMaxGangHeadroom = 0.3;
-// Steps that must start sooner than this to meet their target leave no capacity to waiting gangs.
-constexpr duration kMinSlack = std::chrono::seconds(5);
 // The reason for a wait is logged after this time, and repeated at this interval.
 constexpr duration kWaitLogInterval = std::chrono::seconds(5);
 
@@ -76,73 +66,6 @@
   }
 }
 
-void scheduler::state::DecayStartRates() {
-  const double factor = std::exp(-std::chrono::duration<double>(now - start_rates_updated) /
-                                 std::chrono::duration<double>(kStartRateTime));
-  start_rates_updated = now;
-  for (auto& [priority, rate] : start_rates) {
-    rate.cores_milli *= factor;
-    rate.tasks *= factor;
-  }
-}
-
-// Computes for each priority what its steps leave free for more urgent ones: what those start
-// within `kHeadroomTime`, since a long task would take the capacity that an urgent one needs at
-// once, and what their gangs wait for, since a gang needs all of it at the same time.
-void scheduler::state::UpdateHeadroom() {
-  DecayStartRates();
-  for (const queue_settings& queue : config->queues) start_rates[queue.priority];
-  headrooms.clear();
-  std::map<std::uint32_t, double> gangs = WaitingGangCores();
-  start_rate more_urgent;
-  double waiting_gangs = 0;
-  for (const auto& [priority, rate] : start_rates) {
-    headroom& row = headrooms[priority];
-    const double size = std::max(more_urgent.cores_milli / std::max(more_urgent.tasks, 1.0), 1.0);
-    for (const host_state& host : hosts) {
-      if (!IsUsable(host)) continue;
-      row.capacity += static_cast<double>(host.entry.capacity.cores_milli);
-      row.available += size * std::floor(static_cast<double>(host.Free().cores_milli) / size);
-    }
-    row.needed_by_gangs = std::min(waiting_gangs, row.capacity * kMaxGangHeadroom);
-    if (more_urgent.tasks >= 1) {
-      const double started =
-          more_urgent.cores_milli / std::chrono::duration<double>(kStartRateTime).count();
-      row.needed = std::min(started * std::chrono::duration<double>(kHeadroomTime).count(),
-                            row.capacity * kMaxHeadroom);
-    }
-    more_urgent.cores_milli += rate.cores_milli;
-    more_urgent.tasks += rate.tasks;
-    waiting_gangs += gangs[priority];
-  }
-}
-
-// Returns by priority the cores that gangs need that wait and can still meet their target.
-std::map<std::uint32_t, double> scheduler::state::WaitingGangCores() {
-  std::map<std::uint32_t, double> cores;
-  for (const waiting_key& key : waiting) {
-    const task_ref ref{key.job, key.occurrence, key.step, 0};
-    job_entry* job = FindJob(key.job);
-    const step_state* step = FindStep(ref);
-    if (!job || !step || !SpecOf(*job, key.step).gang || now > step->latest_start) continue;
-    if (step->active_runs > 0 || !step->reserved_capacity.empty()) continue;
-    cores[key.priority] +=
-        static_cast<double>(ChargedResources(SpecOf(*job, key.step)).cores_milli) *
-        static_cast<double>(step->tasks.size());
-  }
-  return cores;
-}
-
-bool scheduler::state::LeavesHeadroom(const demand& wanted) const {
-  const auto found = headrooms.find(wanted.queue->priority);
-  if (found == headrooms.end()) return true;
-  const headroom& row = found->second;
-  // No piece may be large enough although most of the capacity is free.
-  if (2 * static_cast<double>(free_cores) > row.capacity) return true;
-  const bool can_wait = now + kMinSlack < wanted.step->latest_start;
-  return row.available >= row.needed + (can_wait ? row.needed_by_gangs : 0);
-}
-
 // Tries to place waiting steps in order of priority and age. Steps that are too late for the target
 // of their queue come after those of the same priority that are not, so that a backlog does not
 // make every later job miss its target too.
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -332,10 +332,6 @@
   // --- placement (placement.cc) ---
   void Pass();
   void UpdateFreeCapacity();
-  bool LeavesHeadroom(const demand& wanted) const;
-  void UpdateHeadroom();
-  std::map<std::uint32_t, double> WaitingGangCores();
-  void DecayStartRates();
   void LogWait(const task_ref& ref, job_entry& job, step_state& step);
   std::string WaitReason(const task_ref& ref, job_entry& job, const step_state& step) const;
   void TryPlace(const waiting_key& key);
@@ -359,6 +355,12 @@
   void ReserveHosts(const demand& wanted);
   void ReleaseReservedHosts(const step_state& step);
 
+  // --- headroom (headroom.cc) ---
+  bool LeavesHeadroom(const demand& wanted) const;
+  void UpdateHeadroom();
+  std::map<std::uint32_t, double> WaitingGangCores();
+  void DecayStartRates();
+
   // --- advice (advice.cc) ---
   void RequestAdviceForTasks(const task_ref& ref, const demand& wanted, step_state& step,
                              std::uint32_t tasks);
