telemetry: log members of gangs, memberships and the calls of an owner

The log could not tell whether a gang lost members at a change of owner or within a term, nor why the cell moved: answers to starts, members found by a new owner, overdue renewals and the preferred member were not logged. New events: gang_started, gang_stopped with the state of each member, member_adopted, membership_overdue, owner_preferred; cell_status counts polls, starts, stops, policy requests, records and answers. No functional change.

--- a/packages/cell/include/sycamorehinge/cell/actions.h
+++ b/packages/cell/include/sycamorehinge/cell/actions.h
@@ -120,6 +120,13 @@
   kHostAvoided,
   kRecoveryFinished,
   kStepWaits,
+  // All members of a gang run.
+  kGangStarted,
+  // A gang is stopped because a member ended or is missing; the cause names the state of each
+  // member.
+  kGangStopped,
+  // A host reports a member of a gang that this owner did not start.
+  kMemberAdopted,
 };
 
 // A scheduling decision, or a change in what the scheduler knows about a host or run, for the log
--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -243,6 +243,10 @@
     task.active_run = id;
     ++step->active_runs;
   }
+  if (spec.gang) {
+    LogDecision(decision_kind::kMemberAdopted, report.task, report.run, hosts[slot].entry.id.value,
+                std::to_string(report.percent) + "% done");
+  }
   if (!only || task.HasFailed(report.run)) SendStop(id, "the task needs no further run");
 }
 
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -320,6 +320,8 @@
   void RecordHostFailure(host_slot slot, job_number job);
   void MarkDone(const task_ref& ref, const step_spec& spec, step_state& step);
   void AbortGang(const task_ref& ref, std::string_view cause);
+  void LogGangStarted(const task_ref& ref);
+  std::string MemberStates(const step_state& step) const;
   void ResolveUncertain(run_id id, time_point poll_sent);
   void TickRuns();
   void CheckStall(run_id id);
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -67,11 +67,22 @@
   s.last_tick = now;
 }
 
+void cell_owner::CountAction(const cell::action& action, call_counts& sent) {
+  std::visit(overloaded{[&](const cell::poll_host&) { ++sent.polls; },
+                        [&](const cell::start_task&) { ++sent.starts; },
+                        [&](const cell::stop_task&) { ++sent.stops; },
+                        [&](const cell::request_advice&) { ++sent.policy_requests; },
+                        [&](const cell::write_record&) { ++sent.records; },
+                        [&](const cell::answer_call&) { ++sent.answers; }, [](const auto&) {}},
+             action);
+}
+
 // Converts the scheduler's actions to effects, in order.
 void cell_owner::CollectActions(state& s, effects& out) {
   if (!s.scheduler) return;
   s.scheduler->TakeActions(s.actions);
   for (cell::action& action : s.actions) {
+    CountAction(action, s.sent);
     const auto* answer = std::get_if<cell::answer_call>(&action);
     if (!answer) {
       out.push_back({s.epoch, std::move(action), {}});
@@ -451,6 +462,7 @@
   const duration interval = time - std::exchange(s.last_status_log, time);
   const std::int64_t busy_permille = s.busy * 1000 / std::max(interval, duration(1));
   s.busy = {};
+  const call_counts sent = std::exchange(s.sent, {});
   const cell::scheduler_summary now = s.scheduler->Summary();
   log_.Write(event_number::kCellStatus,
              {{"epoch", s.epoch},
@@ -466,6 +478,12 @@
               {"open_calls", std::uint64_t{s.open_calls.size()}},
               {"append_age_ms", Milliseconds(s.journal->OldestAppendAge(time))},
               {"busy_permille", busy_permille},
+              {"polls", sent.polls},
+              {"starts", sent.starts},
+              {"stops", sent.stops},
+              {"policy_requests", sent.policy_requests},
+              {"records", sent.records},
+              {"answers", sent.answers},
               {"tick_delay_ms", Milliseconds(std::exchange(s.longest_tick_delay, {}))}});
 }
 
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -49,6 +49,15 @@
   bool Owns() const;
 
  private:
+  // Calls sent since the last status log.
+  struct call_counts {
+    std::uint64_t polls = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t stops = 0;
+    std::uint64_t policy_requests = 0;
+    std::uint64_t records = 0;
+    std::uint64_t answers = 0;
+  };
   enum class phase { kIdle, kClaiming, kFencing, kLoading, kActive };
   struct state {
     phase current_phase = phase::kIdle;
@@ -66,6 +75,7 @@
     // Since the last status log: time spent with the state locked, and the longest delay of a tick.
     duration busy{};
     duration longest_tick_delay{};
+    call_counts sent;
     // Last time the cell was offered to another process.
     time_point last_offer;
     std::unique_ptr<cell::scheduler> scheduler;
@@ -95,6 +105,7 @@
   // Applies `change` if this process still owns the cell under `epoch`.
   void UpdateScheduler(std::uint64_t epoch, const std::function<void(cell::scheduler&)>& change);
   void CollectActions(state& s, effects& out);
+  static void CountAction(const cell::action& action, call_counts& sent);
   void Execute(const effect& item);
 
   void Claim(state& s, effects& out);
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -35,10 +35,17 @@
             }),
         group(std::make_shared<membership>(
             port, options.membership, options.self,
-            membership_handlers{[this](const std::vector<member_info>& members,
-                                       owner_candidacy candidacy, time_point requested_at) {
-              OnMembers(members, candidacy, requested_at);
-            }})) {}
+            membership_handlers{
+                [this](const std::vector<member_info>& members, owner_candidacy candidacy,
+                       time_point requested_at) { OnMembers(members, candidacy, requested_at); },
+                [this](duration age) {
+                  log.Write(event_number::kMembershipOverdue,
+                            {{"after_ms", std::int64_t{age.count() / 1000}}});
+                },
+                [this](std::string_view address, std::string_view cause) {
+                  log.Write(event_number::kOwnerPreferred,
+                            {{"address", address}, {"cause", cause}});
+                }})) {}
 
   call_router_options RouterOptions() const {
     call_router_options chosen;
--- a/packages/control/src/decision_log.cc
+++ b/packages/control/src/decision_log.cc
@@ -42,6 +42,12 @@
       return event_number::kRecoveryFinished;
     case decision_kind::kStepWaits:
       return event_number::kCellStepWaits;
+    case decision_kind::kGangStarted:
+      return event_number::kCellGangStarted;
+    case decision_kind::kGangStopped:
+      return event_number::kCellGangStopped;
+    case decision_kind::kMemberAdopted:
+      return event_number::kCellMemberAdopted;
   }
   return event_number::kRecoveryFinished;
 }
--- a/packages/control/src/membership.cc
+++ b/packages/control/src/membership.cc
@@ -41,6 +41,14 @@
   return members;
 }
 
+// Returns the address of the member with this name; empty if it is not listed.
+std::string AddressOf(std::span<const member_info> members, std::string_view name) {
+  for (const member_info& member : members) {
+    if (FormatMemberName(member) == name) return member.address;
+  }
+  return {};
+}
+
 }  // namespace
 
 membership::membership(const ports& port, membership_options options, member_info self,
@@ -75,11 +83,14 @@
 void membership::JoinPeriodically() {
   const time_point now = port_.now();
   bool expired = false;
+  duration age{};
   {
     const std::lock_guard lock(mutex_);
     if (left_) return;
-    expired = joined_at_ != time_point() && now - joined_at_ > options_.ttl;
+    age = now - joined_at_;
+    expired = joined_at_ != time_point() && age > options_.ttl;
   }
+  if (expired) handlers_.on_overdue(age);
   port_.run_at(now + options_.join_interval,
                [self = shared_from_this()] { self->JoinPeriodically(); });
   if (expired) return Rejoin();
@@ -158,6 +169,8 @@
 void membership::OnMembers(const result<std::vector<std::string>>& names, time_point requested_at) {
   std::vector<member_info> members;
   owner_candidacy candidacy = owner_candidacy::kUnlisted;
+  std::string preferred;
+  std::string_view cause;
   {
     const std::lock_guard lock(mutex_);
     if (left_ || requested_at < members_read_at_) return;
@@ -168,17 +181,30 @@
     members_read_at_ = requested_at;
     members = NewestEntryPerMachine(*names);
     members_ = members;
-    candidacy = Evaluate(members);
+    candidacy = Evaluate(members, preferred);
+    if (preferred != preferred_) cause = CauseOfChange(members);
+    preferred_ = preferred;
   }
+  if (!cause.empty()) handlers_.on_preferred(AddressOf(members, preferred), cause);
   handlers_.on_members(members, candidacy, requested_at);
 }
 
-owner_candidacy membership::Evaluate(const std::vector<member_info>& members) const {
+// Describes why the previously preferred member is not preferred any more.
+std::string_view membership::CauseOfChange(const std::vector<member_info>& members) const {
+  if (preferred_.empty()) return "first list of members";
+  if (port_.now() < offer_ends_ && preferred_ == offered_by_) return "the owner offered the cell";
+  const bool listed = std::any_of(members.begin(), members.end(), [&](const member_info& member) {
+    return FormatMemberName(member) == preferred_;
+  });
+  return listed ? "a better member is listed" : "the previous one is no longer listed";
+}
+
+owner_candidacy membership::Evaluate(const std::vector<member_info>& members,
+                                     std::string& best) const {
   const time_point now = port_.now();
   const std::string own = FormatMemberName(self_);
   const bool offer_active = now < offer_ends_;
   bool listed = false;
-  std::string best;
   for (const member_info& member : members) {
     const std::string name = FormatMemberName(member);
     listed |= name == own;
--- a/packages/control/src/membership.h
+++ b/packages/control/src/membership.h
@@ -27,6 +27,10 @@
   std::function<void(const std::vector<member_info>&, owner_candidacy candidacy,
                      time_point requested_at)>
       on_members;
+  // No renewal sent in the last `age`, which is longer than the time to live, has been answered.
+  std::function<void(duration age)> on_overdue;
+  // Another member than before is preferred as the owner.
+  std::function<void(std::string_view address, std::string_view cause)> on_preferred;
 };
 
 class membership : public std::enable_shared_from_this<membership> {
@@ -55,7 +59,8 @@
   void SendOffer();
   void ReadMembers();
   void OnMembers(const result<std::vector<std::string>>& names, time_point requested_at);
-  owner_candidacy Evaluate(const std::vector<member_info>& members) const;
+  owner_candidacy Evaluate(const std::vector<member_info>& members, std::string& best) const;
+  std::string_view CauseOfChange(const std::vector<member_info>& members) const;
 
   const ports& port_;
   const membership_options options_;
@@ -71,6 +76,8 @@
   std::uint32_t reads_due_ = 0;
   // Newest entry of each machine in the last list.
   std::vector<member_info> members_;
+  // Name of the preferred member in the last list.
+  std::string preferred_;
   // Owner that offered the cell; it is not preferred until the offer ends.
   std::string offered_by_;
   time_point offer_ends_;
--- a/packages/telemetry/include/sycamorehinge/telemetry/events.h
+++ b/packages/telemetry/include/sycamorehinge/telemetry/events.h
@@ -105,6 +105,8 @@
   kCellClaimed,
   kCellFenced,
   kJournalRead,
+  kMembershipOverdue,
+  kOwnerPreferred,
   // Decisions about jobs and tasks of the cell.
   kCellJobAccepted = 8101,
   kCellJobRefused,
@@ -116,6 +118,9 @@
   kCellTaskStopped,
   kCellStartFailed,
   kCellStepWaits,
+  kCellGangStarted,
+  kCellGangStopped,
+  kCellMemberAdopted,
   // Changes in what the owner of the cell knows about hosts.
   kCellHostFound = 8201,
   kCellHostGone,
--- a/packages/telemetry/src/event_catalogue.cc
+++ b/packages/telemetry/src/event_catalogue.cc
@@ -204,6 +204,15 @@
                       "earlier owners of the cell can no longer write", "none"},
     event_description{kJournalRead, kInfo, "journal_read",
                       "the new owner has read the journal or the host list", "none"},
+    event_description{
+        kMembershipOverdue, kWarning, "membership_overdue",
+        "the store has confirmed no renewal of this process's membership for its time "
+        "to live; after_ms is the age of the last one",
+        "check the load of the process and the connection to the store"},
+    event_description{kOwnerPreferred, kInfo, "owner_preferred",
+                      "another member is preferred as the owner of the cell; the field cause gives "
+                      "the reason",
+                      "none"},
     event_description{kCellJobAccepted, kInfo, "job_accepted",
                       "a job was accepted and is written to the journal", "none"},
     event_description{kCellJobRefused, kInfo, "job_refused", "a job was refused and will not run",
@@ -225,6 +234,16 @@
     event_description{kCellStepWaits, kInfo, "step_waits",
                       "a step has waited for a long time; the field cause gives the reason",
                       "none"},
+    event_description{kCellGangStarted, kInfo, "gang_started",
+                      "hosts have confirmed all members of a gang; after_ms counts from its start",
+                      "none"},
+    event_description{
+        kCellGangStopped, kInfo, "gang_stopped",
+        "a gang is stopped as a whole; the field cause gives the reason and the state "
+        "of its members",
+        "none"},
+    event_description{kCellMemberAdopted, kInfo, "member_adopted",
+                      "a host reports a member of a gang that an earlier owner started", "none"},
     event_description{kCellHostFound, kInfo, "host_found", "the host list contains a new host",
                       "none"},
     event_description{kCellHostGone, kInfo, "host_gone",
