--- a/packages/net/src/http_transfer.cc
+++ b/packages/net/src/http_transfer.cc
@@ -58,6 +58,8 @@
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  // Addresses are numeric. With a finite timeout, curl examines all of them when a transfer ends.
+  curl_easy_setopt(easy, CURLOPT_DNS_CACHE_TIMEOUT, -1L);
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
   if (call_.connect_only) {
     curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
--- a/packages/net/tests/http_test.cc
+++ b/packages/net/tests/http_test.cc
@@ -1,4 +1,7 @@
+#include <poll.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
@@ -11,6 +14,21 @@
 #include "sycamorehinge/net/http_client.h"
 #include "sycamorehinge/net/http_server.h"
 
+namespace {
+
+// Sockets that the process has passed to poll, each time that it did.
+std::atomic<std::uint64_t> examined_sockets = 0;
+
+}  // namespace
+
+// Replaces the function of the C library for the libraries of this program too.
+extern "C" int poll(pollfd* sockets, nfds_t count, int timeout_ms) {
+  examined_sockets += count;
+  const timespec timeout{timeout_ms / 1000, timeout_ms % 1000 * 1'000'000L};
+  return static_cast<int>(
+      syscall(SYS_ppoll, sockets, count, timeout_ms < 0 ? nullptr : &timeout, nullptr, 0));
+}
+
 namespace sycamorehinge {
 namespace {
 
@@ -256,6 +274,45 @@
   CHECK(completed == 100);
 }
 
+// Guards against a client whose cost for each call grows with the number of open calls: an owner of
+// 350 hosts spent its processor time on the sockets of calls that waited for an answer.
+TEST_CASE("A call does not examine the sockets of other open calls") {
+  std::mutex mutex;
+  std::vector<http_server::reply_function> held;
+  http_server server({}, [&](const http_request& request, http_server::reply_function reply) {
+    if (request.path == "/quick") return reply({200, {}, "ok"});
+    const std::lock_guard lock(mutex);
+    held.push_back(std::move(reply));
+  });
+  REQUIRE(server.Start() == errc::kOk);
+  constexpr std::size_t kHeld = 350;
+  constexpr std::uint64_t kQuick = 100;
+  http_client_options options;
+  options.max_connections_per_host = kHeld + 1;
+  http_client client(options);
+  std::atomic<std::size_t> answered = 0;
+  for (std::size_t i = 0; i < kHeld; ++i) {
+    http_client_request call = MakePost(server.Address() + "/held");
+    call.timeout = std::chrono::seconds(30);
+    client.Send(std::move(call),
+                [&](const result<http_client_response>& reply) { answered += reply ? 1 : 0; });
+  }
+  const auto all_held = [&] {
+    const std::lock_guard lock(mutex);
+    return held.size() == kHeld;
+  };
+  while (!all_held()) std::this_thread::sleep_for(milliseconds(1));
+  REQUIRE(SendAndWait(client, MakePost(server.Address() + "/quick")));
+  examined_sockets = 0;
+  for (std::uint64_t i = 0; i < kQuick; ++i) {
+    REQUIRE(SendAndWait(client, MakePost(server.Address() + "/quick")));
+  }
+  // A call may examine its own socket and that of a wake-up, each before and after its use.
+  CHECK(examined_sockets <= kQuick * 4);
+  for (const auto& reply : held) reply({200, {}, "late"});
+  while (answered < kHeld) std::this_thread::sleep_for(milliseconds(1));
+}
+
 // Guards against delayed TCP acknowledgements (40 ms), lost wake-ups and responses delivered to the
 // wrong call (P3).
 TEST_CASE("Many concurrent calls over reused connections each get their own response") {
