entry: one HTTP client for each kind of server

Cause: joins of the group and appends waited behind hundreds of calls to hosts and peers on one client thread, so that the membership of a live owner ended (membership_overdue) and the cell moved. Change: the store, hosts and peers have a client each; the client of hosts may keep half of the sockets idle, since a full cache closed and opened connections all the time (14,217 new connections for 26,888 calls). A limit of four connections to a host was tried and dropped: curl wakes one waiting call of the multi handle, not one for the server that became free, so calls starve.

--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -36,9 +36,15 @@
   return options;
 }
 
-http_client_options ClientOptions(std::size_t max_sockets) {
+http_client_options HostClientOptions(std::size_t max_sockets) {
   http_client_options options;
-  options.max_idle_connections = static_cast<long>(max_sockets / 4);
+  options.max_idle_connections = static_cast<long>(max_sockets / 2);
+  return options;
+}
+
+http_client_options PeerClientOptions(std::size_t max_sockets) {
+  http_client_options options;
+  options.max_idle_connections = static_cast<long>(max_sockets / 8);
   return options;
 }
 
@@ -50,9 +56,10 @@
       settings_(std::move(settings)),
       stop_(std::move(stop)),
       events_(EventOptions(clock_)),
-      http_(ClientOptions(settings_.Get().max_sockets)),
-      store_(http_, settings_),
-      hosts_(http_, settings_),
+      host_http_(HostClientOptions(settings_.Get().max_sockets)),
+      peer_http_(PeerClientOptions(settings_.Get().max_sockets)),
+      store_(store_http_, settings_),
+      hosts_(host_http_, settings_),
       timers_(std::make_unique<timer_queue>(clock_)) {}
 
 platform_process::~platform_process() = default;
@@ -125,8 +132,9 @@
                        duration timeout,
                        auto done) { hosts_.RequestAdvice(step, hosts, timeout, std::move(done)); };
   port.call_peer = [this](std::string_view address, const control::peer_call& call,
-                          duration timeout,
-                          auto done) { CallPeer(http_, address, call, timeout, std::move(done)); };
+                          duration timeout, auto done) {
+    CallPeer(peer_http_, address, call, timeout, std::move(done));
+  };
   return port;
 }
 
--- a/packages/entry/src/platform_process.h
+++ b/packages/entry/src/platform_process.h
@@ -51,7 +51,11 @@
   bool draining_ = false;
   event_log events_;
   metrics metrics_;
-  http_client http_;
+  // One client for each kind of server, so that memberships and the journal do not wait behind
+  // hundreds of calls to hosts and peers.
+  http_client store_http_;
+  http_client host_http_;
+  http_client peer_http_;
   const platform::store_client store_;
   const platform::host_client hosts_;
   // Destroyed in reverse order: first the sources of events, then the node.
