cell: bound the starts without an answer; no scans of runs and jobs

Cause: nothing bounded the calls that an owner sends. When it falls behind, starts wait in its own HTTP client until they time out (0.7 s), are repeated, and cost a new connection each. Class: metastable overload by retries. Change: no step is placed while 500 start calls have no answer. Due retries are kept in order and queued jobs are counted, instead of a scan of all runs at each tick (4% of the owner) and of all jobs at each question (3%).

--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -59,6 +59,9 @@
   duration stall_timeout = std::chrono::milliseconds(3500);
   // Maximum number of waiting steps considered in one placement pass.
   std::size_t max_steps_per_pass = 400;
+  // No step is placed while this many start calls have no answer. Calls that wait in this process
+  // until they time out would all be repeated.
+  std::size_t max_open_starts = 500;
   // A gang that has waited this long gets hosts reserved for it.
   duration gang_reserve_delay = std::chrono::milliseconds(800);
 };
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -136,6 +136,7 @@
   job.queue = record.queue;
   job.accepted_ms = wall;
   job.order = next_order++;
+  ++queued_jobs[job.queue];
   job.spec = record.spec;
   job.payload = std::make_shared<std::string>(std::move(job.spec.payload));
   job.accepted_sequence = Write(std::move(record));
@@ -158,7 +159,9 @@
   for (auto& [index, occurrence] : job.occurrences) {
     for (step_state& step : occurrence.steps) {
       for (task_state& task : step.tasks) task.maybe_running = recovering && !task.done;
-      if (step.tasks_done > 0 && job.phase == job_phase::kQueued) job.phase = job_phase::kRunning;
+      if (step.tasks_done > 0 && job.phase == job_phase::kQueued) {
+        SetPhase(job, job_phase::kRunning);
+      }
     }
   }
   if (!job.IsPeriodic() && job.occurrences.empty()) OpenOccurrence(number, job, 0);
@@ -294,7 +297,7 @@
       }
     }
   }
-  job.phase = phase;
+  SetPhase(job, phase);
   job.ended_ms = wall_ms;
   const auto kind =
       phase == job_phase::kCancelled ? decision_kind::kJobCancelled : decision_kind::kJobEnded;
@@ -330,14 +333,18 @@
 
 void scheduler::state::Pending(call_number call, std::string_view queue) {
   if (!owner) return Answer({call, errc::kNotReady}, 0);
-  const auto count = std::count_if(jobs.begin(), jobs.end(), [queue](const auto& row) {
-    return row.second.phase == job_phase::kQueued && row.second.queue == queue;
-  });
   answer_call answer{call};
-  answer.pending = static_cast<std::uint64_t>(count);
+  const auto found = queued_jobs.find(std::string(queue));
+  if (found != queued_jobs.end()) answer.pending = found->second;
   Answer(answer, 0);
 }
 
+void scheduler::state::SetPhase(job_entry& job, job_phase phase) {
+  if (job.phase == job_phase::kQueued) --queued_jobs[job.queue];
+  job.phase = phase;
+  if (job.phase == job_phase::kQueued) ++queued_jobs[job.queue];
+}
+
 void scheduler::state::RemoveExpiredJobs(std::int64_t wall) {
   const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(options.job_retention);
   while (!ended_jobs.empty() && ended_jobs.front().first + keep.count() < wall) {
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -94,7 +94,10 @@
   if (candidates.size() > options.max_steps_per_pass) {
     candidates.resize(options.max_steps_per_pass);
   }
-  for (const candidate& next : candidates) TryPlace(next.key);
+  for (const candidate& next : candidates) {
+    if (open_starts >= options.max_open_starts) break;
+    TryPlace(next.key);
+  }
 }
 
 void scheduler::state::TryPlace(const waiting_key& key) {
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -120,6 +120,7 @@
   const job_entry* job = FindJob(run.task.job);
   if (!job || !job->payload) return SendStop(id, "the job has ended");
   ++run.start_attempts;
+  ++open_starts;
   run.next_retry = time_point::max();
   start_task start;
   start.host = host.entry.id;
@@ -142,12 +143,14 @@
     run.phase = run_phase::kStopping;
     run.stop_answered = false;
   }
-  run.next_retry = now + options.stop_timeout / 2;
+  ScheduleRetry(id, now + options.stop_timeout / 2);
   actions.emplace_back(stop_task{host.entry.id, host.entry.address, token, run.task, run.number});
 }
 
 void scheduler::state::OnStart(host_slot slot, const task_ref& ref, std::uint32_t number,
                                call_outcome outcome) {
+  // Steps may wait for this answer.
+  if (open_starts-- == options.max_open_starts) pass_needed = true;
   if (outcome == call_outcome::kFenced) {
     actions.emplace_back(step_down{});
     return;
@@ -170,7 +173,7 @@
   run.confirmed = true;
   run.reports_valid_after = now;
   job_entry* job = FindJob(run.task.job);
-  if (job && job->phase == job_phase::kQueued) job->phase = job_phase::kRunning;
+  if (job && job->phase == job_phase::kQueued) SetPhase(*job, job_phase::kRunning);
   if (job && !job->Ended() && SpecOf(*job, run.task.step).gang) LogGangStarted(run.task);
 }
 
@@ -215,7 +218,7 @@
   run_state& run = runs.at(id);
   if (run.start_attempts >= kMaxStartAttempts) return MarkUncertain(id);
   run.phase = run_phase::kUncertain;
-  run.next_retry = now + kStartRetryDelay;
+  ScheduleRetry(id, now + kStartRetryDelay);
 }
 
 // Later polls decide: either one shows the run, or a stop call prevents it from starting.
@@ -223,8 +226,7 @@
   run_state& run = runs.at(id);
   if (run.phase == run_phase::kStopping) {
     run.stop_answered = false;
-    run.next_retry = now;
-    return;
+    return ScheduleRetry(id, now);
   }
   run.phase = run_phase::kUncertain;
   run.reports_valid_after = now;
@@ -292,10 +294,18 @@
   }
 }
 
+void scheduler::state::ScheduleRetry(run_id id, time_point when) {
+  runs.at(id).next_retry = when;
+  retries.emplace(when, id);
+}
+
 void scheduler::state::TickRuns() {
   std::vector<run_id> due;
-  for (const auto& [id, run] : runs) {
-    if (run.next_retry <= now) due.push_back(id);
+  while (!retries.empty() && retries.begin()->first <= now) {
+    const auto [when, id] = *retries.begin();
+    retries.erase(retries.begin());
+    const auto found = runs.find(id);
+    if (found != runs.end() && found->second.next_retry == when) due.push_back(id);
   }
   for (const run_id id : due) {
     if (!runs.contains(id)) continue;
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -37,6 +37,7 @@
   s.term_sequence = s.Write(term_record{term});
   std::sort(s.ended_jobs.begin(), s.ended_jobs.end());
   for (auto& [number, job] : s.jobs) {
+    if (job.phase == job_phase::kQueued) ++s.queued_jobs[job.queue];
     if (!job.Ended()) s.Activate(number, job);
   }
   for (host_slot slot = 0; slot < s.hosts.size(); ++slot) s.TickHost(slot);
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -257,6 +257,7 @@
   void Cancel(call_number call, job_number job, std::int64_t wall_ms);
   void State(call_number call, job_number job);
   void Pending(call_number call, std::string_view queue);
+  void SetPhase(job_entry& job, job_phase phase);
   void Activate(job_number number, job_entry& job);
   void OpenOccurrence(job_number number, job_entry& job, std::uint32_t occurrence);
   void OpenDueOccurrences(std::int64_t wall);
@@ -322,6 +323,7 @@
   void AbortGang(const task_ref& ref, std::string_view cause);
   void LogGangStarted(const task_ref& ref);
   std::string MemberStates(const step_state& step) const;
+  void ScheduleRetry(run_id id, time_point when);
   void ResolveUncertain(run_id id, time_point poll_sent);
   void TickRuns();
   void CheckStall(run_id id);
@@ -421,10 +423,16 @@
   // Due time of the next occurrence in Unix milliseconds, and job.
   std::set<std::pair<std::int64_t, job_number>> periodic_jobs;
   std::set<waiting_key> waiting;
+  // Number of jobs of each queue of which no task has started.
+  std::unordered_map<std::string, std::uint64_t> queued_jobs;
 
   std::vector<host_state> hosts;
   std::unordered_map<host_id, host_slot> host_slots;
   std::unordered_map<run_id, run_state> runs;
+  // Times to resend calls. An entry counts only while its run has the same `next_retry`.
+  std::set<std::pair<time_point, run_id>> retries;
+  // Start calls without an answer.
+  std::size_t open_starts = 0;
   run_id next_run = 1;
 
   std::unordered_map<std::uint64_t, advice_request_state> advice_requests;
--- a/packages/cell/tests/grown_test.cc
+++ b/packages/cell/tests/grown_test.cc
@@ -47,6 +47,34 @@
   CHECK(day.Cell().violations.empty());
 }
 
+// Guards against an owner that falls behind with its calls and sends more and more starts, until
+// they time out before they are sent and are all repeated: 15,000 starts without an answer in 40 s.
+TEST_CASE("Few starts are open when 350 hosts answer late") {
+  constexpr std::uint32_t kJobs = 300;
+  constexpr std::uint32_t kTasks = 8;
+  const scheduler_options options;
+  simulated_cell cell(options);
+  cell.AddQueue("q");
+  for (int i = 0; i < 350; ++i) {
+    cell.AddHost("h" + std::to_string(i), resources{32'000, 64'000, 0, 0});
+  }
+  cell.StartFirstOwner();
+  cell.Run(seconds(1));
+  cell.start_answer_delay = milliseconds(500);
+  for (job_number job = 1; job <= kJobs; ++job) {
+    cell.Submit(job, "q", OneStep(kTasks, 2000, milliseconds(640)));
+  }
+  const auto completed = [&] {
+    for (job_number job = 1; job <= kJobs; ++job) {
+      if (cell.Phase(job) != job_phase::kCompleted) return false;
+    }
+    return true;
+  };
+  CHECK(cell.RunUntil(completed, seconds(20)));
+  CHECK(cell.max_open_starts < options.max_open_starts + kTasks);
+  CHECK(cell.violations.empty());
+}
+
 // Guards against a backlog of gangs that is still waiting when most hosts are idle.
 TEST_CASE("No gang waits for long while most of 350 hosts are free") {
   const std::uint64_t seed = GENERATE(1, 2);
--- a/packages/cell/tests/simulated_cell.cc
+++ b/packages/cell/tests/simulated_cell.cc
@@ -436,6 +436,7 @@
 
 void simulated_cell::Start(const start_task& start) {
   const std::uint64_t epoch = epoch_;
+  max_open_starts = std::max(max_open_starts, ++open_starts);
   After(kNetworkDelay, [this, epoch, start] {
     fake_host& host = hosts.at(start.host.value);
     const std::int64_t started_ms = host.entry.started_ms;
@@ -447,7 +448,8 @@
     }
     const bool lost = host.partitioned || host.start_delay > duration::zero();
     const call_outcome result = lost ? call_outcome::kNoAnswer : Execute(host, start);
-    After(lost ? kTimeout : kNetworkDelay, [this, epoch, start, result] {
+    After(lost ? kTimeout : kNetworkDelay + start_answer_delay, [this, epoch, start, result] {
+      --open_starts;
       if (epoch == epoch_ && owner) owner->OnStart(start.host, start.task, start.run, result, now);
     });
   });
--- a/packages/cell/tests/simulated_cell.h
+++ b/packages/cell/tests/simulated_cell.h
@@ -116,6 +116,10 @@
   std::uint32_t questions = 0;
   std::uint32_t open_advice_requests = 0;
   std::uint32_t max_open_advice_requests = 0;
+  // Added to the time until the answer to a start arrives.
+  duration start_answer_delay{};
+  std::uint32_t open_starts = 0;
+  std::uint32_t max_open_starts = 0;
   std::unique_ptr<scheduler> owner;
   bool stepped_down = false;
 
