cell: stop a gang that lacks members before its hosts do

Cause: a new owner took over the members that hosts reported and waited for nothing. The starts of the other members, sent by its predecessor between claim and fence, were refused by the token of the new owner's own polls and could never succeed. Within a term, a member whose start had no answer was sent again for up to 2.4 s, then polled and stopped, longer than the others wait. Class: an all-or-nothing operation that is begun by calls to several parties and has no one who completes or undoes it. Change: when the recovery ends, gangs that lack members and make no progress are stopped as a whole. Evidence: the two new tests fail without the change, at 350 hosts with 81 members that ended alone after one change of owner (20 gangs of 8), and with two after the loss of two starts; both pass with it.

--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -43,6 +43,8 @@
   duration max_poll_retry_delay = std::chrono::milliseconds(1000);
   // Timeout of a stop call. An unanswered stop is resent after half of this timeout.
   duration stop_timeout = std::chrono::milliseconds(900);
+  // Hosts end the members of a gang that have waited this long for the others.
+  duration gang_timeout = std::chrono::milliseconds(3000);
   // Time for which the state of an ended job can still be queried.
   duration job_retention = std::chrono::seconds(150);
   // A ticket must remain valid for at least this long when it is used.
--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -244,6 +244,8 @@
     ++step->active_runs;
   }
   if (spec.gang) {
+    // After the recovery no other member can still be found.
+    ExpectGang(report.task, recovering ? now + GangStartLimit() : now);
     LogDecision(decision_kind::kMemberAdopted, report.task, report.run, hosts[slot].entry.id.value,
                 std::to_string(report.percent) + "% done");
   }
@@ -301,8 +303,11 @@
   recovering = false;
   for (auto& [number, job] : jobs) {
     for (auto& [index, occurrence] : job.occurrences) {
-      for (step_state& step : occurrence.steps) {
-        for (task_state& task : step.tasks) task.maybe_running = false;
+      for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+        for (task_state& task : occurrence.steps[i].tasks) task.maybe_running = false;
+        if (job.active && SpecOf(job, i).gang) {
+          CheckGang({number, index, i, 0}, "an earlier owner did not start all members");
+        }
       }
     }
   }
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -177,6 +177,33 @@
   if (job && !job->Ended() && SpecOf(*job, run.task.step).gang) LogGangStarted(run.task);
 }
 
+void scheduler::state::ExpectGang(const task_ref& ref, time_point deadline) {
+  gang_deadlines.emplace(deadline, task_ref{ref.job, ref.occurrence, ref.step, 0});
+}
+
+// Stops a gang that lacks members and makes no progress: its hosts would end it after
+// `gang_timeout`.
+void scheduler::state::CheckGang(const task_ref& ref, std::string_view cause) {
+  const job_entry* job = FindJob(ref.job);
+  const step_state* step = FindStep(ref);
+  if (!job || !step || step->active_runs == 0) return;
+  const bool checkpoints = SpecOf(*job, ref.step).checkpoints;
+  bool whole = true;
+  std::uint32_t number = 0;
+  for (const task_state& task : step->tasks) {
+    if (task.active_run == kNoRun) {
+      whole = false;
+      continue;
+    }
+    const run_state& run = runs.at(task.active_run);
+    // The progress of a resumed run includes that of earlier runs.
+    if (run.last_progress > run.started || (run.percent > 0 && !checkpoints)) return;
+    if (number == 0) number = run.number;
+    whole = whole && run.phase == run_phase::kRunning && run.number == number;
+  }
+  if (!whole) AbortGang(ref, cause);
+}
+
 // Logs a gang whose last member was just confirmed.
 void scheduler::state::LogGangStarted(const task_ref& ref) {
   const step_state* step = FindStep(ref);
@@ -307,6 +334,11 @@
     const auto found = runs.find(id);
     if (found != runs.end() && found->second.next_retry == when) due.push_back(id);
   }
+  while (!gang_deadlines.empty() && gang_deadlines.begin()->first <= now) {
+    const task_ref ref = gang_deadlines.begin()->second;
+    gang_deadlines.erase(gang_deadlines.begin());
+    CheckGang(ref, "not all members have started");
+  }
   for (const run_id id : due) {
     if (!runs.contains(id)) continue;
     if (runs.at(id).phase == run_phase::kStopping) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -322,6 +322,9 @@
   void MarkDone(const task_ref& ref, const step_spec& spec, step_state& step);
   void AbortGang(const task_ref& ref, std::string_view cause);
   void LogGangStarted(const task_ref& ref);
+  void ExpectGang(const task_ref& ref, time_point deadline);
+  void CheckGang(const task_ref& ref, std::string_view cause);
+  duration GangStartLimit() const { return options.gang_timeout / 2; }
   std::string MemberStates(const step_state& step) const;
   void ScheduleRetry(run_id id, time_point when);
   void ResolveUncertain(run_id id, time_point poll_sent);
@@ -431,6 +434,8 @@
   std::unordered_map<run_id, run_state> runs;
   // Times to resend calls. An entry counts only while its run has the same `next_retry`.
   std::set<std::pair<time_point, run_id>> retries;
+  // Times by which all members of a gang must have started.
+  std::set<std::pair<time_point, task_ref>> gang_deadlines;
   // Start calls without an answer.
   std::size_t open_starts = 0;
   run_id next_run = 1;
--- a/packages/cell/tests/gang_test.cc
+++ b/packages/cell/tests/gang_test.cc
@@ -75,6 +75,57 @@
   CHECK(cell.violations.empty());
 }
 
+// Guards against gangs of which a new owner finds only some members, since its polls have fenced
+// off the starts of the others, and that it leaves waiting until hosts end them.
+TEST_CASE("A new owner stops gangs whose other members cannot start any more") {
+  simulated_cell cell;
+  constexpr job_number kGangs = 20;
+  cell.AddQueue("q");
+  for (int i = 0; i < 350; ++i) {
+    cell.AddHost("h" + std::to_string(i), resources{32'000, 64'000, 0, 0});
+  }
+  cell.StartFirstOwner();
+  cell.Run(seconds(1));
+  int index = 0;
+  for (auto& [name, host] : cell.hosts) {
+    if (++index % 2 == 0) host.start_delay = milliseconds(300);
+  }
+  for (job_number job = 1; job <= kGangs; ++job) cell.Submit(job, "q", Gang(8, 9000, seconds(5)));
+  cell.Run(milliseconds(50));
+  std::uint32_t running = 0;
+  for (job_number job = 1; job <= kGangs; ++job) running += cell.Running(job);
+  REQUIRE(running > 0);
+  REQUIRE(running < 8 * kGangs);
+  cell.ReplaceOwner();
+  for (auto& [name, host] : cell.hosts) host.start_delay = {};
+  cell.Run(seconds(8));
+  CHECK(cell.lone_members == 0);
+  for (job_number job = 1; job <= kGangs; ++job) CHECK(cell.Phase(job) == job_phase::kCompleted);
+  CHECK(cell.violations.empty());
+}
+
+// Guards against a gang that waits for a member whose start is lost for longer than hosts let the
+// other members wait.
+TEST_CASE("A gang is stopped before its host gives up on a member that does not start") {
+  simulated_cell cell;
+  StartCell(cell, 4);
+  cell.Run(seconds(1));
+  int index = 0;
+  for (auto& [name, host] : cell.hosts) {
+    if (++index % 2 == 0) host.start_delay = seconds(30);
+  }
+  cell.Submit(1, "q", Gang(4, 7000, seconds(1)));
+  cell.Run(milliseconds(100));
+  REQUIRE(cell.Running(1) == 2);
+  for (auto& [name, host] : cell.hosts) host.start_delay = {};
+  for (auto& [name, host] : cell.hosts) host.drops_starts = host.running.empty();
+  cell.Run(seconds(6));
+  CHECK(cell.lone_members == 0);
+  for (auto& [name, host] : cell.hosts) host.drops_starts = false;
+  CHECK(cell.RunUntil([&] { return cell.Phase(1) == job_phase::kCompleted; }, seconds(10)));
+  CHECK(cell.violations.empty());
+}
+
 // Guards against starvation of a gang by smaller tasks that take all freed capacity.
 TEST_CASE("Hosts are reserved for a gang that has waited") {
   simulated_cell cell;
--- a/packages/cell/tests/simulated_cell.cc
+++ b/packages/cell/tests/simulated_cell.cc
@@ -293,6 +293,8 @@
     for (const auto& [key, run] : host.running) {
       if (lapsed) {
         over.emplace_back(key, end_kind::kLeaseExpired);
+      } else if (!run.complete && !run.stopping) {
+        if (now - run.started >= gang_timeout) over.emplace_back(key, end_kind::kGangIncomplete);
       } else if (run.ends <= now && (!host.stalled || run.stopping)) {
         over.emplace_back(key, run.stopping ? end_kind::kStopped : run.kind);
       }
@@ -303,6 +305,7 @@
 
 void simulated_cell::EndRun(fake_host& host, const std::pair<task_ref, std::uint32_t>& key,
                             end_kind kind) {
+  if (kind == end_kind::kGangIncomplete) ++lone_members;
   host.running.erase(key);
   host.ended_at[host.next_end] = now;
   host.ended.push_back({host.next_end++, key.first, key.second, kind, {}});
@@ -364,7 +367,8 @@
     run_report report{key.first, key.second, {}, 0, 0};
     const duration total = std::max<duration>(run.ends - run.started, milliseconds(1));
     const auto percent = (now - run.started) * 100 / total;
-    if (!host.stalled) report.percent = static_cast<std::uint32_t>(std::min<long>(percent, 99));
+    if (!host.stalled && run.complete)
+      report.percent = static_cast<std::uint32_t>(std::min<long>(percent, 99));
     seen.running.push_back(report);
   }
   const bool partitioned = host.partitioned;
@@ -430,10 +434,27 @@
   CheckStart(host, start, run);
   ++tasks[start.task].starts;
   ++host.starts;
+  run.complete = !spec->gang;
   host.running[{start.task, start.run}] = run;
+  if (spec->gang) CompleteGang(start.task, start.run, spec->count);
   return call_outcome::kDone;
 }
 
+// Lets the members of a gang work if all of them run.
+void simulated_cell::CompleteGang(const task_ref& task, std::uint32_t number,
+                                  std::uint32_t members) {
+  std::vector<fake_run*> present;
+  for (auto& [name, host] : hosts) {
+    for (auto& [key, run] : host.running) {
+      const bool same_step = key.first.job == task.job && key.first.occurrence == task.occurrence &&
+                             key.first.step == task.step;
+      if (same_step && key.second == number) present.push_back(&run);
+    }
+  }
+  if (present.size() < members) return;
+  for (fake_run* run : present) run->complete = true;
+}
+
 void simulated_cell::Start(const start_task& start) {
   const std::uint64_t epoch = epoch_;
   max_open_starts = std::max(max_open_starts, ++open_starts);
@@ -446,7 +467,7 @@
         if (later.entry.started_ms == started_ms) Execute(later, start);
       });
     }
-    const bool lost = host.partitioned || host.start_delay > duration::zero();
+    const bool lost = host.partitioned || host.drops_starts || host.start_delay > duration::zero();
     const call_outcome result = lost ? call_outcome::kNoAnswer : Execute(host, start);
     After(lost ? kTimeout : kNetworkDelay + start_answer_delay, [this, epoch, start, result] {
       --open_starts;
--- a/packages/cell/tests/simulated_cell.h
+++ b/packages/cell/tests/simulated_cell.h
@@ -26,6 +26,8 @@
   end_kind kind = end_kind::kDone;
   resources size;
   bool stopping = false;
+  // All members of the gang run; always true for other tasks.
+  bool complete = true;
 };
 
 struct fake_host {
@@ -45,6 +47,8 @@
   bool partitioned = false;
   bool fails_all_tasks = false;
   bool stalled = false;
+  // Starts have no effect and are not answered.
+  bool drops_starts = false;
   // If not zero, starts take effect after this delay and are not answered.
   duration start_delay{};
   std::uint32_t starts = 0;
@@ -116,6 +120,9 @@
   std::uint32_t questions = 0;
   std::uint32_t open_advice_requests = 0;
   std::uint32_t max_open_advice_requests = 0;
+  // Gang members that hosts ended because the other members did not start within `gang_timeout`.
+  duration gang_timeout = milliseconds(4000);
+  std::uint32_t lone_members = 0;
   // Added to the time until the answer to a start arrives.
   duration start_answer_delay{};
   std::uint32_t open_starts = 0;
@@ -134,6 +141,7 @@
   void AnswerPoll(std::uint64_t epoch, time_point sent, const poll_host& poll, time_point until);
   void Start(const start_task& start);
   call_outcome Execute(fake_host& host, const start_task& start);
+  void CompleteGang(const task_ref& task, std::uint32_t run, std::uint32_t members);
   void Stop(const stop_task& stop);
   void Advise(const request_advice& ask);
   void Store(const journal_record& record);
--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -84,6 +84,7 @@
   scheduler.lease = std::min(scheduler.lease, settings.max_lease - kLeaseReserve);
   scheduler.max_lease = settings.max_lease;
   scheduler.stop_timeout = settings.stop_timeout;
+  scheduler.gang_timeout = settings.gang_timeout;
   scheduler.job_retention = std::max(scheduler.job_retention, settings.status_retention * 5 / 4);
   return options;
 }
