control: prefer the newest owner within its rank, and join without reading the directory first

Cause: the oldest member was preferred. A replaced owner whose late joins were listed before it knew its successor was preferred again; the successor stepped down, then the old owner was fenced and became the youngest. A process whose membership had lapsed also read the directory before its next join, so an overloaded one came back still later. Class: a preference that ignores who holds the cell. Change: the name of a member holds the epoch of its claim, after the rank. The newest owner is preferred to all others of its rank, and names itself so from the accepted claim on; it takes the epoch out of its name when it gives up the cell or is fenced. Evidence: the new test has p0 displace p1 on the old code, and one change of owner now. The test of an outage sets the listing lag once p0 owns the cell, since a process that is listed late at the start no longer displaces an owner; its checks are unchanged.

--- a/packages/control/include/sycamorehinge/control/calls.h
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -86,11 +86,13 @@
   std::string address;
   region_id region;
   data_centre_id data_centre;
+  // Epoch under which the process claimed the cell; 0 if it does not own it.
+  std::uint64_t owner_epoch = 0;
 };
 
 // Encodes a member as its name in the group. The member with the smallest name is preferred as the
-// owner of the cell: one of the best rank, and of those the one that started first, so that a new
-// process does not displace the owner.
+// owner of the cell: one of the best rank, of those the newest owner, so that no other process
+// displaces it, and of those that own nothing the one that started first.
 std::string FormatMemberName(const member_info& member);
 // Error: kMalformed.
 result<member_info> ParseMemberName(std::string_view name);
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -113,6 +113,7 @@
     if (candidacy == owner_candidacy::kOther) {
       if (s.current_phase != phase::kIdle) {
         StepDown(s, s.epoch, "another process is preferred", out);
+        out.push_back({s.epoch, std::nullopt, hooks_.on_released});
       }
       return;
     }
@@ -154,6 +155,7 @@
 void cell_owner::StartFencing(state& s, std::uint64_t epoch, effects& out) {
   s.current_phase = phase::kFencing;
   s.epoch = epoch;
+  out.push_back({epoch, std::nullopt, [this, epoch] { hooks_.on_claimed(epoch); }});
   LogTakeoverStage(s, event_number::kCellClaimed);
   journal_handlers handlers;
   handlers.on_durable = [this, epoch](std::uint64_t sequence) {
@@ -176,7 +178,11 @@
 void cell_owner::OnFenced(std::uint64_t epoch, errc code) {
   Update([&](state& s, effects& out) {
     if (s.current_phase != phase::kFencing || s.epoch != epoch) return;
-    if (code != errc::kOk) return StepDown(s, epoch, "a newer owner writes", out);
+    if (code != errc::kOk) {
+      StepDown(s, epoch, "a newer owner writes", out);
+      out.push_back({epoch, std::nullopt, hooks_.on_fenced});
+      return;
+    }
     s.current_phase = phase::kLoading;
     LogTakeoverStage(s, event_number::kCellFenced);
     s.scheduler = std::make_unique<cell::scheduler>(options_.scheduler);
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -25,8 +25,12 @@
 class cell_owner {
  public:
   struct hooks {
+    // The store has accepted the claim of this process.
+    std::function<void(std::uint64_t epoch)> on_claimed;
     std::function<void(const owner_info&)> on_owned;
     std::function<void()> on_lost;
+    // Another process is preferred as the owner.
+    std::function<void()> on_released;
     // A newer owner has fenced this one.
     std::function<void()> on_fenced;
     // Appends to the journal have had no success for some time.
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -23,10 +23,12 @@
       : options(std::move(given)),
         port(std::move(given_ports)),
         log(given_observer),
-        owner(port, options, log,
-              {[this](const owner_info& info) { router.LearnOwner(info); },
-               [this] { router.ForgetOwner(options.self.address); }, [this] { group->YieldCell(); },
-               [this] { group->OfferCell(); }}),
+        owner(
+            port, options, log,
+            {[this](std::uint64_t epoch) { group->ClaimCell(epoch); },
+             [this](const owner_info& info) { router.LearnOwner(info); },
+             [this] { router.ForgetOwner(options.self.address); }, [this] { group->ReleaseCell(); },
+             [this] { group->YieldCell(); }, [this] { group->OfferCell(); }}),
         router(
             port, RouterOptions(),
             [this](const peer_call& call, peer_reply reply) { owner.Call(call, std::move(reply)); },
--- a/packages/control/src/membership.cc
+++ b/packages/control/src/membership.cc
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <map>
 #include <span>
+#include <tuple>
 #include <utility>
 
 namespace sycamorehinge::control {
@@ -25,15 +26,18 @@
 // Longer than the time to live of the old owner's entry in the group.
 constexpr duration kOfferDuration = std::chrono::milliseconds(3000);
 
-// Entries of earlier processes on a machine stay listed until their time to live ends, so only the
-// newest entry of each machine counts.
+// Entries of earlier processes on a machine, and earlier names of a process, stay listed until
+// their time to live ends, so only the newest entry of each machine counts.
 std::vector<member_info> NewestEntryPerMachine(std::span<const std::string> names) {
   std::map<std::string, member_info> newest;
   for (const std::string& name : names) {
     result<member_info> member = ParseMemberName(name);
     if (!member) continue;
     const auto [row, added] = newest.try_emplace(member->name, *member);
-    if (!added && row->second.started_ms < member->started_ms) row->second = std::move(*member);
+    const auto age = [](const member_info& entry) {
+      return std::tuple(entry.started_ms, entry.owner_epoch);
+    };
+    if (!added && age(row->second) < age(*member)) row->second = std::move(*member);
   }
   std::vector<member_info> members;
   members.reserve(newest.size());
@@ -82,49 +86,20 @@
 // answer does not end the membership.
 void membership::JoinPeriodically() {
   const time_point now = port_.now();
-  bool expired = false;
   duration age{};
   {
     const std::lock_guard lock(mutex_);
     if (left_) return;
     age = now - joined_at_;
-    expired = joined_at_ != time_point() && age > options_.ttl;
+    lapsed_ = lapsed_ || (joined_at_ != time_point() && age > options_.ttl);
+    if (!lapsed_) age = {};
   }
-  if (expired) handlers_.on_overdue(age);
+  if (age > duration::zero()) handlers_.on_overdue(age);
   port_.run_at(now + options_.join_interval,
                [self = shared_from_this()] { self->JoinPeriodically(); });
-  if (expired) return Rejoin();
   Join();
 }
 
-// The store may have dropped a member whose joins got no answer for the time to live. An owner that
-// is still named in the directory rejoins under its old name and all others as the newest members,
-// so that the owner keeps the cell.
-void membership::Rejoin() {
-  const time_point requested_at = port_.now();
-  port_.read(stream_name::kDirectory, from_latest_values{},
-             [self = shared_from_this(), requested_at](const result<stream_page>& page) {
-               if (!page) return;
-               const bool owns = std::any_of(
-                   page->records.begin(), page->records.end(), [&](const stream_record& record) {
-                     return record.key == kOwnerKey && record.value == self->self_.address;
-                   });
-               {
-                 const std::lock_guard lock(self->mutex_);
-                 if (self->joined_at_ >= requested_at) return;
-                 if (!owns && !self->start_time_reset_) self->ResetStartTime();
-               }
-               self->Join();
-             });
-}
-
-void membership::ResetStartTime() {
-  start_time_reset_ = true;
-  self_.started_ms = port_.wall_ms();
-  // The owner may rejoin somewhat later than this process.
-  earliest_claim_ = port_.now() + options_.join_interval * kRejoinIntervals;
-}
-
 void membership::Join() {
   std::string member;
   std::uint64_t generation = 0;
@@ -149,6 +124,10 @@
     if (left_ || requested_at < joined_at_) return;
     joined_at_ = requested_at;
     start_time_reset_ = false;
+    if (std::exchange(lapsed_, false)) {
+      // The store may have dropped all members, and the owner may rejoin later than this process.
+      earliest_claim_ = port_.now() + options_.join_interval * kRejoinIntervals;
+    }
     if (*generation != generation_) reads_due_ = kReadsAfterChange;
     generation_ = *generation;
     const bool due = reads_due_ > 0 || requested_at - members_read_at_ >= options_.refresh_interval;
@@ -212,8 +191,8 @@
     if (best.empty() || name < best) best = name;
   }
   if (!listed) return owner_candidacy::kUnlisted;
-  return now >= earliest_claim_ && best == own ? owner_candidacy::kPreferred
-                                               : owner_candidacy::kOther;
+  const bool may_own = self_.owner_epoch != 0 || now >= earliest_claim_;
+  return may_own && best == own ? owner_candidacy::kPreferred : owner_candidacy::kOther;
 }
 
 // If the store answers a read, it is reachable and only writes are slow or lose their answers.
@@ -267,9 +246,28 @@
   });
 }
 
+void membership::ClaimCell(std::uint64_t epoch) {
+  {
+    const std::lock_guard lock(mutex_);
+    self_.owner_epoch = epoch;
+  }
+  Join();
+}
+
+void membership::ReleaseCell() {
+  const std::lock_guard lock(mutex_);
+  if (std::exchange(self_.owner_epoch, 0) == 0) return;
+  // Marks the new name as newer than that of the owner, which stays listed for a while.
+  ++self_.started_ms;
+}
+
 void membership::YieldCell() {
   const std::lock_guard lock(mutex_);
-  if (!start_time_reset_) ResetStartTime();
+  if (self_.owner_epoch == 0 && start_time_reset_) return;
+  self_.owner_epoch = 0;
+  self_.started_ms = std::max(port_.wall_ms(), self_.started_ms + 1);
+  start_time_reset_ = true;
+  earliest_claim_ = port_.now() + options_.join_interval * kRejoinIntervals;
 }
 
 void membership::Leave() {
--- a/packages/control/src/membership.h
+++ b/packages/control/src/membership.h
@@ -46,14 +46,18 @@
   void OfferCell();
   // Handles an offer of `member`, which owns the cell and cannot reach the store.
   void OnOffer(const std::string& member);
-  // Moves this process to the end of the order of preference, so that the new owner keeps the cell.
+  // Called when this process has claimed the cell under `epoch`: prefers it to the other members of
+  // its rank.
+  void ClaimCell(std::uint64_t epoch);
+  // Called when this process gives up the cell to a member that is preferred.
+  void ReleaseCell();
+  // Called when a newer owner has fenced this process: moves it to the end of the order of
+  // preference.
   void YieldCell();
 
  private:
   void MeasureConnectTime(std::uint32_t tries_left);
   void JoinPeriodically();
-  void Rejoin();
-  void ResetStartTime();
   void Join();
   void OnJoined(const result<std::uint64_t>& generation, time_point requested_at);
   void SendOffer();
@@ -83,6 +87,8 @@
   time_point offer_ends_;
   // The start time in the own name was reset since the last answered join.
   bool start_time_reset_ = false;
+  // The time to live of the membership was over before the last join was answered.
+  bool lapsed_ = false;
   // This process does not claim the cell before this time.
   time_point earliest_claim_;
 };
--- a/packages/control/tests/fake_store.cc
+++ b/packages/control/tests/fake_store.cc
@@ -138,7 +138,8 @@
 void fake_store::AddGroup(ports& port, const std::string& process) {
   port.join = [this, process](std::string_view member, std::uint64_t, duration ttl, auto done) {
     if (!IsReachable(process)) return RunAfter(kTimeout, [done] { done(errc::kTimeout); });
-    RunAfter(answer_delay, [this, name = std::string(member), process, ttl, done] {
+    const duration delay = answer_delay + join_delays[process];
+    RunAfter(delay, [this, name = std::string(member), process, ttl, done] {
       const auto [row, added] = members_.try_emplace(name);
       row->second.until = now + ttl;
       if (added) row->second.listed_from = now + listing_lag[process];
--- a/packages/control/tests/fake_store.h
+++ b/packages/control/tests/fake_store.h
@@ -40,6 +40,8 @@
   std::map<std::string, duration> listing_lag;
   // Processes that get no answer from the store.
   std::map<std::string, bool> cut_off;
+  // Added to the time until a join takes effect, by process.
+  std::map<std::string, duration> join_delays;
   // Hosts answer a process that is cut off as if a newer owner had fenced it.
   bool hosts_fence_cut_off = false;
   // Handlers of calls between processes, by address.
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -145,9 +145,10 @@
 // memberships end (inc-2d86: 1.9 s without an owner once the store was back).
 TEST_CASE("The owner stays when the store forgets all members in an outage") {
   cluster group(4);
+  group.store.Run(seconds(3));
+  REQUIRE(group.OwnerName() == "p0");
   SECTION("all members rejoin at once") {}
   SECTION("the owner is listed last") { group.store.listing_lag["p0"] = milliseconds(600); }
-  group.store.Run(seconds(3));
   const std::vector<stream_record> claim = group.store.Newest(stream_name::kDirectory);
   REQUIRE(claim.size() == 1);
   for (int i = 0; i < 5; ++i) {
@@ -203,6 +204,21 @@
   CHECK(group.nodes["q0"]->Summary().owns_cell);
 }
 
+// Guards against a cell that goes back and forth: late joins list a replaced owner again before it
+// knows its successor, it is preferred as the oldest member, and the successor steps down.
+TEST_CASE("An owner whose joins are late does not displace its successor") {
+  cluster group(3);
+  group.store.Run(seconds(3));
+  REQUIRE(group.OwnerName() == "p0");
+  group.store.join_delays["p0"] = seconds(2);
+  const auto owned = [&] { return group.nodes["p1"]->Summary().owns_cell; };
+  for (int i = 0; i < 3000 && !owned(); ++i) group.store.Run(milliseconds(1));
+  REQUIRE(owned());
+  for (int i = 0; i < 5000 && owned(); ++i) group.store.Run(milliseconds(1));
+  CHECK(group.OwnerName() == "p1");
+  CHECK(group.store.Newest(stream_name::kDirectory).front().offset == 1);
+}
+
 // Guards against calls that are routed forever to a process that does not own the cell: the store
 // applied its claim late, after the process had given up on it.
 TEST_CASE("The owner claims the cell again after a late claim of another process") {
