cell: restart tasks of adopted runs only after the recovery

Adopting a run ended the wait for unpolled hosts, though these may hold earlier failures. Class: a decision on part of the state during a recovery. Change: a task waits for the end of the recovery whether or not one of its runs was found. Evidence: the new test (350 hosts, one of them silent) starts the task a third time without the change and fails the job with it.

--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -238,7 +238,6 @@
   const run_id id =
       OpenRun(report.task, slot, ChargedResources(spec), report.run, run_phase::kRunning);
   ConfirmRun(id);
-  task.maybe_running = false;
   if (only) {
     task.active_run = id;
     ++step->active_runs;
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -69,7 +69,8 @@
   std::uint32_t starts = 0;
   // The run that has not been closed yet; kNoRun if there is none.
   run_id active_run = kNoRun;
-  // An earlier owner may have started the task on a host that has not been polled yet.
+  // A host that has not been polled yet may run the task, or hold the end of a run that counts
+  // against its attempts.
   bool maybe_running = false;
   std::string checkpoint;
   std::vector<host_slot> failed_on;
--- a/packages/cell/tests/recovery_test.cc
+++ b/packages/cell/tests/recovery_test.cc
@@ -54,6 +54,37 @@
   CHECK(cell.Running(1) > 0);
 }
 
+// Guards against a start beyond the allowed attempts: a new owner sees an adopted run fail before
+// the host of an earlier failure, which is not in the journal, has answered its first poll.
+TEST_CASE("A task of an adopted run that fails waits for the failures on all other hosts") {
+  simulated_cell cell;
+  cell.AddQueue("q", 0, 2);
+  for (int i = 0; i < 350; ++i) cell.AddHost("h" + std::to_string(i), kHost);
+  cell.StartFirstOwner();
+  cell.run_time = [](const task_ref&, duration) { return seconds(3); };
+  cell.outcome = [](const task_ref&, std::uint32_t) { return end_kind::kFailed; };
+  cell.Submit(1, "q", OneStep(1, 6000, seconds(3)));
+  const auto host_of_run = [&]() -> fake_host* {
+    for (auto& [name, host] : cell.hosts) {
+      if (!host.running.empty()) return &host;
+    }
+    return nullptr;
+  };
+  REQUIRE(cell.RunUntil([&] { return host_of_run() != nullptr; }, seconds(1)));
+  fake_host* first = host_of_run();
+  cell.journal_available = false;
+  REQUIRE(cell.RunUntil([&] { return host_of_run() && host_of_run() != first; }, seconds(6)));
+  cell.KillOwner();
+  cell.journal_available = true;
+  first->partitioned = true;
+  cell.ReplaceOwner();
+  cell.Run(seconds(4));
+  first->partitioned = false;
+  CHECK(cell.RunUntil([&] { return cell.Phase(1) == job_phase::kFailed; }, seconds(12)));
+  CHECK(cell.tasks.at({1, 0, 0, 0}).starts == 2);
+  CHECK(cell.violations.empty());
+}
+
 // Guards against a duplicate run when a host reports an old failure before the next run of the task
 // is known, as check TWICE of the trial trouble-1 showed.
 TEST_CASE("The end of an earlier run does not release a task whose next run is unknown") {
