cell: a file of its own for gangs; deadlines name their run

The deadline of a run that was stopped could check the next run of the gang before its members had answered; it now names the run and is dropped when the gang has been placed again. Found by reading. The functions of gangs move to gangs.cc. cell_test passes.

--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -244,7 +244,7 @@
   }
   if (spec.gang) {
     // After the recovery no other member can still be found.
-    ExpectGang(report.task, recovering ? now + GangStartLimit() : now);
+    ExpectGang(report.task, report.run, recovering ? now + GangStartLimit() : now);
     LogDecision(decision_kind::kMemberAdopted, report.task, report.run, hosts[slot].entry.id.value,
                 std::to_string(report.percent) + "% done");
   }
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -354,7 +354,7 @@
     starts = std::max(starts, task.starts);
   }
   const std::uint32_t number = static_cast<std::uint32_t>(term - 1) * kRunsPerTerm + starts + 1;
-  ExpectGang(ref, now + GangStartLimit());
+  ExpectGang(ref, number, now + GangStartLimit());
   std::uint32_t index = 0;
   for (const auto& [slot, count] : chosen) {
     for (std::uint32_t i = 0; i < count; ++i, ++index) {
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -139,6 +139,7 @@
   if (!s.owner) return;
   s.OpenDueOccurrences(wall_ms);
   s.TickRuns();
+  s.TickGangs();
   for (host_slot slot = 0; slot < s.hosts.size(); ++slot) s.TickHost(slot);
   s.WriteDirtyJobs();
   s.CheckRecovery();
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -217,6 +217,15 @@
   bool reserves_capacity = false;
 };
 
+// Time by which all members of a gang must have started in this run. `index` is unused.
+struct gang_deadline {
+  time_point at;
+  task_ref step;
+  std::uint32_t run = 0;
+
+  friend auto operator<=>(const gang_deadline&, const gang_deadline&) = default;
+};
+
 // Starts of tasks of one priority, weighted by an exponential decay.
 struct start_rate {
   double cores_milli = 0;
@@ -321,12 +330,6 @@
   bool RecordTaskFailure(host_slot slot, const end_report& end, job_entry& job, step_state& step);
   void RecordHostFailure(host_slot slot, job_number job);
   void MarkDone(const task_ref& ref, const step_spec& spec, step_state& step);
-  void AbortGang(const task_ref& ref, std::string_view cause);
-  void LogGangStarted(const task_ref& ref);
-  void ExpectGang(const task_ref& ref, time_point deadline);
-  void CheckGang(const task_ref& ref, std::string_view cause);
-  duration GangStartLimit() const { return options.gang_timeout / 2; }
-  std::string MemberStates(const step_state& step) const;
   void ScheduleRetry(run_id id, time_point when);
   void ResolveUncertain(run_id id, time_point poll_sent);
   void TickRuns();
@@ -337,6 +340,16 @@
   void StartRefused(run_id id, call_outcome outcome);
   run_id FindRun(host_slot slot, const task_ref& ref, std::uint32_t number) const;
 
+  // --- gangs (gangs.cc) ---
+  duration GangStartLimit() const { return options.gang_timeout / 2; }
+  void ExpectGang(const task_ref& ref, std::uint32_t run, time_point deadline);
+  bool HasRun(const task_ref& ref, std::uint32_t number);
+  void CheckGang(const task_ref& ref, std::string_view cause);
+  void TickGangs();
+  void AbortGang(const task_ref& ref, std::string_view cause);
+  void LogGangStarted(const task_ref& ref);
+  std::string MemberStates(const step_state& step) const;
+
   // --- placement (placement.cc) ---
   void Pass();
   void UpdateFreeCapacity();
@@ -435,8 +448,7 @@
   std::unordered_map<run_id, run_state> runs;
   // Times to resend calls. An entry counts only while its run has the same `next_retry`.
   std::set<std::pair<time_point, run_id>> retries;
-  // Times by which all members of a gang must have started.
-  std::set<std::pair<time_point, task_ref>> gang_deadlines;
+  std::set<gang_deadline> gang_deadlines;
   // Start calls without an answer.
   std::size_t open_starts = 0;
   run_id next_run = 1;
--- a/packages/net/include/sycamorehinge/net/http_client.h
+++ b/packages/net/include/sycamorehinge/net/http_client.h
@@ -47,7 +47,8 @@
 struct http_client_options {
   // A target accepts about 60 connections.
   long max_connections_per_host = 60;
-  // Limit on cached idle connections to all hosts: two for each of 1,400 workers.
+  // Limit on cached idle connections to all hosts: two for each of 1,400 workers. Connections are
+  // cached in pools; the pool of a host may hold its share, but at least max_connections_per_host.
   long max_idle_connections = 2800;
   std::size_t max_response_bytes = std::size_t{8} << 20;
   // Limit on idle curl easy handles cached for reuse.
