--- a/packages/control/src/membership.cc
+++ b/packages/control/src/membership.cc
@@ -87,15 +87,14 @@
 void membership::JoinPeriodically() {
   const time_point now = port_.now();
   duration age{};
-  bool lapsed = false;
   {
     const std::lock_guard lock(mutex_);
     if (left_) return;
     age = now - joined_at_;
     lapsed_ = lapsed_ || (joined_at_ != time_point() && age > options_.ttl);
-    lapsed = lapsed_;
+    if (!lapsed_) age = {};
   }
-  if (lapsed) handlers_.on_overdue(age);
+  if (age > duration::zero()) handlers_.on_overdue(age);
   port_.run_at(now + options_.join_interval,
                [self = shared_from_this()] { self->JoinPeriodically(); });
   Join();
