--- a/review/common/platform_standin.py
+++ b/review/common/platform_standin.py
@@ -707,10 +707,13 @@
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             return None, b""
 
-    async def call(self, node, method, path, body=None, limit_ms=3000, quiet=False):
-        """A consumer's call at the front address of a node; status None means no answer."""
+    async def call(self, node, method, path, body=None, limit_ms=3000, quiet=False,
+                   leave_ms=None):
+        """A consumer's call at the front address of a node; status None means no answer. The
+        consumer closes the channel at its time limit, or after `leave_ms`."""
         address = f"{self.address_of(self.node_names.index(node))}:{self.ports['front']}"
-        status, answer = await self.call_address(address, method, path, body, limit_ms / 1000,
+        status, answer = await self.call_address(address, method, path, body,
+                                                 (leave_ms or limit_ms) / 1000,
                                                  [f"Deadline-Ms: {limit_ms}"])
         if not quiet:
             text = answer[:200].decode("latin-1")
