review: after a takeover with a slow store no process knows the owner

Cause: a claim that is sent again leaves a newer epoch in the directory than the one under which the process owns the cell, and routers that have dropped the address ignore the older epoch.

--- a/review/common/platform_standin.py
+++ b/review/common/platform_standin.py
@@ -169,6 +169,8 @@
         # Nodes whose calls get no answer.
         self.cut = set()
         self.refused_appends = 0
+        # Answers, and the appends themselves, take this many times as long.
+        self.slowness = 1
 
     def partition(self, topic, part):
         return self.partitions.setdefault((topic, int(part)), Partition())
@@ -199,6 +201,8 @@
         async def handle(request):
             if self.down or node in self.cut:
                 return None
+            if self.slowness > 1 and not request.path.endswith("log-append"):
+                await asyncio.sleep(STORE_LIMITS["append_ms"] * self.slowness / 1000)
             answer = await self._dispatch(request)
             # An answer that would leave during the outage is lost.
             return None if self.down or node in self.cut else answer
@@ -238,7 +242,8 @@
                                   f"bytes, record_bytes is {STORE_LIMITS['record_bytes']}")
             return 400, {}
         now = time.monotonic()
-        partition.busy_until = max(now, partition.busy_until) + STORE_LIMITS["append_ms"] / 1000
+        partition.busy_until = (max(now, partition.busy_until) +
+                                STORE_LIMITS["append_ms"] * self.slowness / 1000)
         await asyncio.sleep(partition.busy_until - now)
         if "producer" in query:
             epoch, seq = int(query["epoch"]), int(query["seq"])
@@ -532,11 +537,43 @@
         return self._answer(200, running=running, ended=self.ended[:500])
 
 
+class PolicyService:
+    """The service at `advice`. It approves all executors, and handles one call at a time for each
+    calling machine."""
+
+    def __init__(self, decision_ms, per_worker_ms):
+        self.decision_ms = decision_ms
+        self.per_worker_ms = per_worker_ms
+        self.calls = {}
+
+    def handler(self, node):
+        lock = asyncio.Lock()
+        waiting = 0
+
+        async def handle(request):
+            nonlocal waiting
+            body = request.json()
+            if waiting >= 32:
+                return 429, {}
+            waiting += 1
+            try:
+                async with lock:
+                    await asyncio.sleep((self.decision_ms + self.per_worker_ms *
+                                         len(body["workers"])) / 1000)
+            finally:
+                waiting -= 1
+            self.calls[node] = self.calls.get(node, 0) + 1
+            return 200, {"approved": [[worker, f"t-{body['step']}-{worker}"]
+                                      for worker in body["workers"]]}
+        return handle
+
+
 class World:
     """The platform, the executors and the processes of the system of one case."""
 
     service = "ledger"
     host = "queue.example"
+    policy = None
 
     def __init__(self, folder, nodes, executors, labels=lambda index: ("std", "r1-1")):
         """`labels(index)` gives the labels of an executor: its kind and its rack."""
@@ -641,7 +678,11 @@
             store_host = f"127.{self.block}.3.{i + 1}"
             store_port = self.free_port(store_host)
             await HttpListener(self.store.handler(name)).start(store_host, store_port)
-            self.write_settings(i, name, f"{store_host}:{store_port}")
+            advice = ""
+            if self.policy:
+                advice = f"{store_host}:{self.free_port(store_host)}"
+                await HttpListener(self.policy.handler(name)).start(*advice.split(":"))
+            self.write_settings(i, name, f"{store_host}:{store_port}", advice)
         self.run_line = run_line
         for name in self.node_names:
             self.start_process(name)
@@ -656,7 +697,7 @@
         self.record.write(f"operator: config {self.version} acknowledged, routes "
                           f"{[route['name'] for route in routes]}")
 
-    def write_settings(self, i, name, store_address):
+    def write_settings(self, i, name, store_address, advice):
         ip = self.address_of(i)
         settings = {
             "node": name, "role": "control", "machine_class": "edge", "serves": ["edge"],
@@ -671,7 +712,7 @@
             "data_dir": None, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1500,
             "contracts": ["base", "drain", "config", "cost", "recover", "sched", "platform"],
             "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": BOUNDS,
-            "orders": "call", "advice": "",
+            "orders": "call", "advice": advice,
             "platform": {"address": store_address, **STORE_LIMITS},
             "cloud_api": {"address": "", "rate_per_s": 60.0, "duties": [], "duty_per_s": 60.0}}
         path = pathlib.Path(self.temporary.name) / f"{name}.json"
