--- a/packages/cell/include/sycamorehinge/cell/actions.h
+++ b/packages/cell/include/sycamorehinge/cell/actions.h
@@ -103,6 +103,12 @@
 // A host has seen a higher fencing token: this owner must stop and claim the cell again.
 struct step_down {};
 
+// Asks an earlier owner to give up the cell. The process reports its confirmation, or that nothing
+// listens at the address any more, with scheduler::OnOwnerFenced.
+struct fence_owner {
+  std::string address;
+};
+
 enum class decision_kind {
   kJobAccepted,
   kJobRefused,
@@ -119,6 +125,13 @@
   kHostRestarted,
   kHostAvoided,
   kRecoveryFinished,
+  // An earlier owner renews no lease any more; `host` is its address.
+  kOwnerFenced,
+  // The owner renews leases from now on; `elapsed` is the age of the last confirmation of its
+  // ownership.
+  kLeasesGranted,
+  // The ownership has not been confirmed for `grant_period`, so no lease is renewed.
+  kLeasesPaused,
   kStepWaits,
   // All members of a gang run.
   kGangStarted,
@@ -143,7 +156,7 @@
 };
 
 using action = std::variant<write_record, answer_call, poll_host, start_task, stop_task,
-                            throttle_task, request_advice, step_down, log_decision>;
+                            throttle_task, request_advice, step_down, fence_owner, log_decision>;
 
 }  // namespace sycamorehinge::cell
 
--- a/packages/cell/include/sycamorehinge/cell/records.h
+++ b/packages/cell/include/sycamorehinge/cell/records.h
@@ -17,6 +17,12 @@
   std::uint64_t term = 0;
 };
 
+// Addresses of the processes that may still renew leases: the owner, and earlier owners that have
+// not confirmed that they stopped. Durable before the owner renews a lease.
+struct lease_granters_record {
+  std::vector<std::string> addresses;
+};
+
 // An accepted job that has not ended. Written once, before the submission is acknowledged.
 struct accepted_record {
   job_number job = 0;
@@ -69,8 +75,9 @@
   host_id host;
 };
 
-using journal_record = std::variant<term_record, accepted_record, progress_record,
-                                    remove_accepted_job, remove_job, host_record, remove_host>;
+using journal_record =
+    std::variant<term_record, lease_granters_record, accepted_record, progress_record,
+                 remove_accepted_job, remove_job, host_record, remove_host>;
 
 }  // namespace sycamorehinge::cell
 
--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -25,6 +25,10 @@
 struct scheduler_options {
   // Lease that each poll and each start grants to all tasks of the host.
   duration lease = std::chrono::seconds(5);
+  // Time after the last confirmation of its ownership for which an owner renews leases and starts
+  // tasks. A later owner relies on it, so all processes of a cell must use the same value. Running
+  // work survives an outage of the store that is shorter than this and a lease together.
+  duration grant_period = std::chrono::seconds(4);
   // Hosts cap every requested lease at this time.
   duration max_lease = std::chrono::seconds(10);
   // Fraction by which the clock of a host may run slow.
@@ -34,9 +38,9 @@
   // Minimum time between the answer to a poll and the next poll, so that one poll returns several
   // ends.
   duration min_poll_interval = std::chrono::milliseconds(60);
-  // Interval between polls of a host whose last ends are not in the journal yet. It answers such a
-  // poll at once, with the same ends again.
-  duration unjournaled_poll_interval = std::chrono::milliseconds(300);
+  // Interval between polls of a host that answers at once: its last ends are not in the journal yet
+  // and are reported again, or the polls renew no lease.
+  duration undelayed_poll_interval = std::chrono::milliseconds(300);
   // Delay before an unreachable host is polled again. It grows by this amount with each failure, up
   // to `max_poll_retry_delay`.
   duration poll_retry_delay = std::chrono::milliseconds(200);
@@ -97,8 +101,13 @@
   // Restores one journal record. Records may come in any order.
   void Load(journal_record record);
   // Starts to act as the owner. `token` fences off earlier owners at the hosts; `term` must exceed
-  // the term of every earlier owner.
-  void BeginTerm(std::uint64_t term, std::uint64_t token, time_point now, std::int64_t wall_ms);
+  // the term of every earlier owner. `address` identifies this process to later owners.
+  void BeginTerm(std::uint64_t term, std::uint64_t token, std::string_view address, time_point now,
+                 std::int64_t wall_ms);
+  // Reports that no newer owner had written to the journal at `at`.
+  void OnOwnershipConfirmed(time_point at);
+  // Reports that the process at this address renews no lease as an earlier owner any more.
+  void OnOwnerFenced(std::string_view address, time_point now);
   // Returns the term of the last owner in the loaded records; 0 if there was none.
   std::uint64_t LoadedTerm() const;
   // Reports that the journal holds all records up to this sequence.
--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -13,14 +13,10 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
-// Allowance for the delay between the clock reading on the host and the arrival of its answer.
-constexpr duration kLeaseSlack = std::chrono::milliseconds(100);
 // No host restarts in less time.
 constexpr duration kMinRestartTime = std::chrono::milliseconds(500);
 // Delay before an idle host gets an extra poll just to acknowledge its ends.
 constexpr duration kAcknowledgementDelay = std::chrono::milliseconds(1500);
-// Time for which a replaced owner may keep renewing leases before it notices.
-constexpr duration kOldOwnerSlack = std::chrono::milliseconds(1500);
 
 }  // namespace
 
@@ -126,7 +122,8 @@
     RemoveHostRecord(host);
   if (host.poll_open || !NeedsPoll(host) || now < host.next_poll) return;
   const bool journal_behind = !host.unjournaled_ends.empty();
-  if (journal_behind && now < host.poll_sent + options.unjournaled_poll_interval) return;
+  const bool answered_at_once = journal_behind || !MayGrantLeases();
+  if (answered_at_once && now < host.poll_sent + options.undelayed_poll_interval) return;
   // The acknowledgement to an idle host is delayed, since the poll after another start can carry
   // it.
   const bool only_tells = host.polled && host.runs.empty() && host.orphan_runs == 0 &&
@@ -147,7 +144,7 @@
   if (passed > duration::zero()) {
     passed = std::chrono::duration_cast<duration>(passed * (1 - options.clock_drift));
   }
-  return clock_ms < host.clock_ms + ToMs(passed - kLeaseSlack);
+  return clock_ms < host.clock_ms + ToMs(passed - kClockReadingDelay);
 }
 
 // Numbers of ends begin again when a host restarts, and an acknowledgement meant for its earlier
@@ -160,21 +157,6 @@
                                            [this](run_id id) { return runs.at(id).confirmed; });
 }
 
-// Extends the lease of the host. Returns its expiry on the host's clock and records the expiry on
-// the local clock. The lease of an unreachable host is not extended: unanswered calls may still
-// reach it, and its tasks must expire.
-std::int64_t scheduler::state::ExtendLease(host_state& host) {
-  host.lease_sent_at = now;
-  if (host.poll_failures > 0) return host.deadline_ms;
-  const std::int64_t deadline =
-      host.clock_ms + ToMs(now - host.clock_read_at) + ToMs(options.lease);
-  host.deadline_ms = std::max(host.deadline_ms, deadline);
-  const auto left = std::chrono::milliseconds(host.deadline_ms - host.clock_ms);
-  const auto longest = std::chrono::duration_cast<duration>(left / (1 - options.clock_drift));
-  host.lease_expires = std::max(host.lease_expires, host.clock_read_at + longest + kLeaseSlack);
-  return host.deadline_ms;
-}
-
 void scheduler::state::SendPoll(host_slot slot) {
   host_state& host = hosts[slot];
   poll_host poll{host.entry.id, host.entry.address, token, 0, {}, {}};
@@ -183,8 +165,10 @@
   if (host.acknowledged_end < host.journaled_end && !host.acknowledgement_withheld) {
     poll.journaled_end = host.journaled_end;
   }
-  if (host.HasClock() && host.poll_failures == 0) poll.deadline_ms = ExtendLease(host);
-  const bool quiet = host.polled && host.poll_failures == 0 && host.unjournaled_ends.empty();
+  // The answer to a poll that renews no lease is not delayed, so that the next one can renew it.
+  const bool renews = host.HasClock() && host.poll_failures == 0 && MayGrantLeases();
+  if (renews) poll.deadline_ms = ExtendLease(host);
+  const bool quiet = host.polled && renews && host.unjournaled_ends.empty();
   if (quiet && !host.runs.empty()) poll.wait = options.max_poll_hold;
   host.polled_acknowledged_end = poll.journaled_end;
   host.poll_open = true;
@@ -212,6 +196,7 @@
     OnStartTime(host, answer->started_ms);
   }
   if (host.poll_failures > 0 || !host.polled) pass_needed = true;
+  if (!host.polled) ExpectEarlierLease(host);
   host.poll_failures = 0;
   host.polled = true;
   host.acknowledged_end = std::max(host.acknowledged_end, host.polled_acknowledged_end);
@@ -307,36 +292,6 @@
       stop_task{host.entry.id, host.entry.address, token, report.task, report.run});
 }
 
-// Time by which all leases of earlier owners have expired on hosts that were not polled.
-time_point scheduler::state::EarlierLeaseExpiry() const {
-  return term_began + kOldOwnerSlack + kLeaseSlack + options.lease;
-}
-
-// Time by which a lease has expired whose deadline was meant for an earlier life of the host. The
-// clock of the new life is behind, so the host grants the longest lease.
-time_point scheduler::state::LongestLeaseExpiry(const host_state& host) const {
-  const auto longest =
-      std::chrono::duration_cast<duration>(options.max_lease / (1 - options.clock_drift));
-  return host.lease_sent_at + longest + kLeaseSlack;
-}
-
-// Closes the runs of an unreachable host once its lease has expired.
-void scheduler::state::CloseExpiredRuns(host_slot slot) {
-  host_state& host = hosts[slot];
-  const time_point over =
-      host.polled ? host.lease_expires : std::max(host.lease_expires, EarlierLeaseExpiry());
-  if (host.poll_failures == 0 || now < over) return;
-  const std::vector<run_id> lost = host.runs;
-  for (const run_id id : lost) {
-    if (!runs.at(id).confirmed && now < LongestLeaseExpiry(host)) continue;
-    const task_ref ref = runs.at(id).task;
-    LogDecision(decision_kind::kTaskLost, ref, runs.at(id).number, host.entry.id.value,
-                "the lease of an unreachable host expired", now - host.unreachable_since);
-    CloseRun(id, "the lease of an unreachable host expired");
-  }
-  if (!hosts[slot].listed && hosts[slot].runs.empty()) RemoveHostRecord(hosts[slot]);
-}
-
 void scheduler::state::RemoveHostRecord(host_state& host) {
   if (!host.journaled) return;
   host.journaled = false;
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -44,35 +44,37 @@
 }  // namespace
 
 void scheduler::state::Load(journal_record record) {
-  std::visit(overloaded{[&](term_record& row) { loaded_term = std::max(loaded_term, row.term); },
-                        [&](accepted_record& row) {
-                          job_entry& job = jobs[row.job];
-                          job.queue = std::move(row.queue);
-                          job.accepted_ms = row.accepted_ms;
-                          job.spec = std::move(row.spec);
-                          job.payload = std::make_shared<std::string>(std::move(job.spec.payload));
-                          job.order = next_order++;
-                        },
-                        [&](progress_record& row) {
-                          job_entry& job = jobs[row.job];
-                          job.queue = std::move(row.queue);
-                          job.phase = row.phase;
-                          job.ended_ms = row.ended_ms;
-                          if (job.Ended()) {
-                            ended_jobs.emplace_back(job.ended_ms, row.job);
-                          } else {
-                            Restore(job, row);
-                          }
-                        },
-                        [&](host_record& row) {
-                          host_state& host = hosts[SlotOf(row.host)];
-                          host.journaled = true;
-                          if (host.listed) return;
-                          host.entry.address = std::move(row.address);
-                          host.entry.service = std::move(row.service);
-                        },
-                        [](const auto&) {}},
-             record);
+  std::visit(
+      overloaded{[&](term_record& row) { loaded_term = std::max(loaded_term, row.term); },
+                 [&](lease_granters_record& row) { loaded_granters = std::move(row.addresses); },
+                 [&](accepted_record& row) {
+                   job_entry& job = jobs[row.job];
+                   job.queue = std::move(row.queue);
+                   job.accepted_ms = row.accepted_ms;
+                   job.spec = std::move(row.spec);
+                   job.payload = std::make_shared<std::string>(std::move(job.spec.payload));
+                   job.order = next_order++;
+                 },
+                 [&](progress_record& row) {
+                   job_entry& job = jobs[row.job];
+                   job.queue = std::move(row.queue);
+                   job.phase = row.phase;
+                   job.ended_ms = row.ended_ms;
+                   if (job.Ended()) {
+                     ended_jobs.emplace_back(job.ended_ms, row.job);
+                   } else {
+                     Restore(job, row);
+                   }
+                 },
+                 [&](host_record& row) {
+                   host_state& host = hosts[SlotOf(row.host)];
+                   host.journaled = true;
+                   if (host.listed) return;
+                   host.entry.address = std::move(row.address);
+                   host.entry.service = std::move(row.service);
+                 },
+                 [](const auto&) {}},
+      record);
 }
 
 job_entry* scheduler::state::FindJob(job_number number) {
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -71,7 +71,7 @@
 // make every later job miss its target too.
 void scheduler::state::Pass() {
   if (!pass_needed || !owner || !may_start || now < next_pass) return;
-  if (durable < term_sequence) return;
+  if (!MayGrantLeases()) return;
   pass_needed = false;
   next_pass =
       now + kMinPassInterval + kPassIntervalPerStep * static_cast<std::int64_t>(waiting.size());
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -118,6 +118,8 @@
   host_state& host = hosts[run.host];
   const job_entry* job = FindJob(run.task.job);
   if (!job || !job->payload) return SendStop(id, "the job has ended");
+  // A start renews the lease of its host.
+  if (!MayGrantLeases()) return ScheduleRetry(id, now + kStartRetryDelay);
   ++run.start_attempts;
   ++open_starts;
   run.next_retry = time_point::max();
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -24,8 +24,8 @@
 
 void scheduler::Load(journal_record record) { state_->Load(std::move(record)); }
 
-void scheduler::BeginTerm(std::uint64_t term, std::uint64_t token, time_point now,
-                          std::int64_t wall_ms) {
+void scheduler::BeginTerm(std::uint64_t term, std::uint64_t token, std::string_view address,
+                          time_point now, std::int64_t wall_ms) {
   state& s = *state_;
   s.now = now;
   s.wall_ms = wall_ms;
@@ -34,6 +34,7 @@
   s.term_began = now;
   s.owner = true;
   s.recovering = true;
+  s.BeginLeases(address);
   s.term_sequence = s.Write(term_record{term});
   std::sort(s.ended_jobs.begin(), s.ended_jobs.end());
   for (auto& [number, job] : s.jobs) {
@@ -46,8 +47,16 @@
 
 std::uint64_t scheduler::LoadedTerm() const { return state_->loaded_term; }
 
+void scheduler::OnOwnershipConfirmed(time_point at) { state_->OnOwnershipConfirmed(at); }
+
+void scheduler::OnOwnerFenced(std::string_view address, time_point now) {
+  state_->now = now;
+  state_->OnOwnerFenced(address);
+}
+
 void scheduler::OnDurable(std::uint64_t sequence) {
   state_->OnDurable(sequence);
+  state_->CheckGrants();
   state_->Pass();
 }
 
@@ -138,6 +147,8 @@
   s.wall_ms = wall_ms;
   if (!s.owner) return;
   s.OpenDueOccurrences(wall_ms);
+  s.FenceEarlierOwners();
+  s.CheckGrants();
   s.TickRuns();
   s.TickGangs();
   for (host_slot slot = 0; slot < s.hosts.size(); ++slot) s.TickHost(slot);
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -31,6 +31,9 @@
 // does not know the last number that the previous owner used.
 inline constexpr std::uint32_t kRunsPerTerm = 64;
 
+// Allowance for the delay between the clock reading on a host and the arrival of its answer.
+inline constexpr duration kClockReadingDelay = std::chrono::milliseconds(100);
+
 enum class run_phase {
   // The start call was sent.
   kStarting,
@@ -331,7 +334,6 @@
   void TickHost(host_slot slot);
   bool NeedsPoll(const host_state& host) const;
   void SendPoll(host_slot slot);
-  std::int64_t ExtendLease(host_state& host);
   void OnPollResult(host_slot slot, time_point sent, call_outcome outcome,
                     const host_report* answer);
   void OnPollFailure(host_slot slot, call_outcome outcome);
@@ -339,13 +341,25 @@
   void ProcessRunningReports(host_slot slot, time_point sent, const host_report& answer);
   void AdoptRun(host_slot slot, const run_report& report);
   void StopOrphan(host_slot slot, const run_report& report);
-  time_point EarlierLeaseExpiry() const;
-  time_point LongestLeaseExpiry(const host_state& host) const;
-  void CloseExpiredRuns(host_slot slot);
   void RemoveHostRecord(host_state& host);
   void AvoidHost(host_state& host, duration time, std::string_view cause);
   void CheckRecovery();
 
+  // --- leases (leases.cc) ---
+  void BeginLeases(std::string_view address);
+  void WriteGranters();
+  void FenceEarlierOwners();
+  void OnOwnerFenced(std::string_view address);
+  void OnOwnershipConfirmed(time_point at);
+  bool MayGrantLeases() const;
+  void CheckGrants();
+  std::int64_t ExtendLease(host_state& host);
+  duration LongestTime(duration lease) const;
+  time_point EarlierLeaseExpiry() const;
+  void ExpectEarlierLease(host_state& host) const;
+  time_point LongestLeaseExpiry(const host_state& host) const;
+  void CloseExpiredRuns(host_slot slot);
+
   // --- runs (runs.cc) ---
   run_id OpenRun(const task_ref& ref, host_slot slot, const resources& size, std::uint32_t number,
                  run_phase phase);
@@ -445,10 +459,12 @@
   std::shared_ptr<const fleet_config> config = std::make_shared<fleet_config>();
   std::uint64_t config_generation = 1;
   std::uint64_t loaded_term = 0;
+  std::vector<std::string> loaded_granters;
   std::uint64_t term = 0;
   std::uint64_t token = 0;
-  // Sequence of the term_record. No task starts before it is durable, since the next owner derives
-  // its run numbers from it.
+  // Sequence of the term_record, which follows the first lease_granters_record. No task starts and
+  // no lease is renewed before it is durable, since the next owner derives its run numbers and the
+  // time by which all leases have expired from them.
   std::uint64_t term_sequence = 0;
   bool owner = false;
   bool may_start = true;
@@ -464,6 +480,16 @@
   std::int64_t wall_ms = 0;
   time_point term_began;
 
+  std::string own_address;
+  // Earlier owners that may still renew leases, and the time by which all others had stopped.
+  std::vector<std::string> earlier_owners;
+  time_point earlier_owners_stopped_at;
+  time_point next_fence_at;
+  // Time of the last confirmation that no newer owner had written to the journal.
+  time_point confirmed_at;
+  // Result of the last CheckGrants().
+  bool grants_leases = false;
+
   std::unordered_map<job_number, job_entry> jobs;
   std::uint64_t next_order = 1;
   std::vector<job_number> dirty_jobs;
--- a/packages/cell/tests/model_test.cc
+++ b/packages/cell/tests/model_test.cc
@@ -12,7 +12,9 @@
 
 class history {
  public:
-  explicit history(std::uint64_t seed) : world_({}, seed), random_(seed) {}
+  explicit history(std::uint64_t seed) : world_({}, seed), random_(seed) {
+    world_.earlier_owners_answer = seed % 2 == 0;
+  }
 
   void Run() {
     world_.AddQueue("urgent", 0, 2);
--- a/packages/cell/tests/simulated_cell.cc
+++ b/packages/cell/tests/simulated_cell.cc
@@ -15,6 +15,7 @@
 std::string KeyOf(const journal_record& record) {
   return std::visit(
       overloaded{[](const term_record&) { return std::string("t"); },
+                 [](const lease_granters_record&) { return std::string("o"); },
                  [](const accepted_record& row) { return "j" + std::to_string(row.job); },
                  [](const progress_record& row) { return "s" + std::to_string(row.job); },
                  [](const remove_accepted_job& row) { return "j" + std::to_string(row.job); },
@@ -118,7 +119,8 @@
   for (const auto& [name, host] : hosts) owner->SetHost(host.entry, now);
   owner->SetConfig(config_);
   if (!policy_clients.empty()) owner->SetPolicyClientCount(policy_clients.size());
-  owner->BeginTerm(owner->LoadedTerm() + 1, epoch_, now, wall_ms);
+  owner->OnOwnershipConfirmed(now);
+  owner->BeginTerm(owner->LoadedTerm() + 1, epoch_, "owner" + std::to_string(epoch_), now, wall_ms);
   PerformActions();
 }
 
@@ -151,6 +153,7 @@
     now += kTimeStep;
     wall_ms += kTimeStep.count() / 1000;
     TickHosts();
+    if (owner && journal_available) owner->OnOwnershipConfirmed(now);
     while (!events_.empty() && events_.begin()->first <= now) {
       const auto task = std::move(events_.begin()->second);
       events_.erase(events_.begin());
@@ -200,6 +203,7 @@
                         [&](const stop_task& stop) { Stop(stop); }, [](const throttle_task&) {},
                         [&](const request_advice& ask) { Advise(ask); },
                         [&](const step_down&) { stepped_down = true; },
+                        [&](const fence_owner& call) { FenceOwner(call); },
                         [&](const log_decision& note) { decisions.push_back(note); }},
              next);
 }
@@ -530,6 +534,13 @@
   });
 }
 
+void simulated_cell::FenceOwner(const fence_owner& call) {
+  if (!earlier_owners_answer) return;
+  After(2 * kNetworkDelay, [this, epoch = epoch_, call] {
+    if (epoch == epoch_ && owner) owner->OnOwnerFenced(call.address, now);
+  });
+}
+
 void simulated_cell::Advise(const request_advice& ask) {
   ++questions;
   max_open_advice_requests = std::max(max_open_advice_requests, ++open_advice_requests);
--- a/packages/cell/tests/simulated_cell.h
+++ b/packages/cell/tests/simulated_cell.h
@@ -112,6 +112,8 @@
   std::int64_t wall_ms = 1'800'000'000'000;
   bool journal_available = true;
   duration journal_delay = milliseconds(5);
+  // Earlier owners answer that they have given up the cell.
+  bool earlier_owners_answer = true;
   // Run time of tasks; by default the declared one.
   std::function<duration(const task_ref&, duration declared)> run_time;
   std::function<end_kind(const task_ref&, std::uint32_t run)> outcome;
@@ -151,6 +153,7 @@
   call_outcome Execute(fake_host& host, const start_task& start);
   void CompleteGang(const task_ref& task, std::uint32_t run, std::uint32_t members);
   void Stop(const stop_task& stop);
+  void FenceOwner(const fence_owner& call);
   void Advise(const request_advice& ask);
   void Store(const journal_record& record);
   void FlushJournal();
--- a/packages/control/include/sycamorehinge/control/calls.h
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -48,8 +48,14 @@
   // Name of the sender as a member.
   std::string member;
 };
+// Sent by the owner to earlier owners: the receiver gives up the cell if it claimed it under an
+// older epoch. The answer confirms that it renews no lease under an older epoch any more.
+struct fence_call {
+  // Epoch of the sender.
+  std::uint64_t epoch = 0;
+};
 using peer_call = std::variant<submit_call, cancel_call, job_state_call, pending_jobs_call,
-                               advice_call, offer_call, announce_call>;
+                               advice_call, offer_call, announce_call, fence_call>;
 
 // Owner of the cell. A higher epoch is newer.
 struct owner_info {
--- a/packages/control/include/sycamorehinge/control/ports.h
+++ b/packages/control/include/sycamorehinge/control/ports.h
@@ -72,6 +72,11 @@
   std::uint64_t sequence = 0;
 };
 
+// Details of an error of `call_peer` that guarantee that the call was not sent. The first one also
+// shows that no process listens at the address.
+inline constexpr std::string_view kNoListenerDetail = "no listener";
+inline constexpr std::string_view kCallNotSentDetail = "not sent";
+
 struct ports {
   std::function<time_point()> now;
   std::function<std::int64_t()> wall_ms;
@@ -120,8 +125,8 @@
                      completion<std::vector<approved_host>>)>
       advise;
 
-  // Errors: kConnectionFailed, with detail kRefusedDetail if the call was certainly not sent;
-  // kTimeout.
+  // Errors: kConnectionFailed, with kNoListenerDetail or kCallNotSentDetail if the call was not
+  // sent; kTimeout.
   std::function<void(std::string_view address, const peer_call&, duration timeout,
                      completion<peer_answer>)>
       call_peer;
--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Detail of kConnectionFailed that guarantees the call was not sent.
-constexpr std::string_view kNotSent = "refused";
-
 bool IsRead(const peer_call& call) {
   return std::holds_alternative<job_state_call>(call) ||
          std::holds_alternative<pending_jobs_call>(call);
@@ -85,7 +82,8 @@
       state.failing_since = time_point::max();
       return Finish(state, id, *outcome, out);
     }
-    const bool lost = !outcome && outcome.detail() != kNotSent;
+    const bool lost =
+        !outcome && outcome.detail() != kNoListenerDetail && outcome.detail() != kCallNotSentDetail;
     if (lost || (outcome && outcome->code == errc::kOutcomeUnknown)) open.may_have_effect = true;
     state.failing_since = std::min(state.failing_since, now);
     if (learned) return SendAttempt(state, id, out);
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -169,6 +169,7 @@
 void cell_owner::StartFencing(state& s, std::uint64_t epoch, effects& out) {
   s.current_phase = phase::kFencing;
   s.epoch = epoch;
+  s.confirmed_at = {};
   out.push_back({epoch, std::nullopt, [this, epoch] { hooks_.on_claimed(epoch); }});
   LogTakeoverStage(s, event_number::kCellClaimed);
   journal_handlers handlers;
@@ -176,6 +177,7 @@
     UpdateScheduler(epoch,
                     [sequence](cell::scheduler& scheduler) { scheduler.OnDurable(sequence); });
   };
+  handlers.on_confirmed = [this, epoch](time_point at) { OnConfirmed(epoch, at); };
   handlers.on_fenced = [this, epoch] { OnFencedOut(epoch, "fenced by the journal"); };
   handlers.on_availability = [this](bool available) {
     log_.Write(available ? event_number::kStoreAvailable : event_number::kStoreUnavailable,
@@ -189,12 +191,20 @@
                  }});
 }
 
+void cell_owner::OnConfirmed(std::uint64_t epoch, time_point at) {
+  Update([&](state& s, effects&) {
+    if (s.epoch != epoch) return;
+    s.confirmed_at = std::max(s.confirmed_at, at);
+    if (s.scheduler) s.scheduler->OnOwnershipConfirmed(s.confirmed_at);
+  });
+}
+
 void cell_owner::OnFenced(std::uint64_t epoch, errc code) {
   Update([&](state& s, effects& out) {
     if (s.current_phase != phase::kFencing || s.epoch != epoch) return;
     if (code != errc::kOk) {
       StepDown(s, epoch, "a newer owner writes", out);
-      out.push_back({epoch, std::nullopt, hooks_.on_fenced});
+      out.push_back({epoch, std::nullopt, [this, epoch] { hooks_.on_fenced(epoch); }});
       return;
     }
     s.current_phase = phase::kLoading;
@@ -287,7 +297,8 @@
   s.scheduler->SetConfig(s.config);
   UpdatePolicyClients(s);
   const std::uint64_t term = s.scheduler->LoadedTerm() + 1;
-  s.scheduler->BeginTerm(term, s.epoch, s.last_tick, port_.wall_ms());
+  s.scheduler->OnOwnershipConfirmed(s.confirmed_at);
+  s.scheduler->BeginTerm(term, s.epoch, options_.self.address, s.last_tick, port_.wall_ms());
   log_.Write(event_number::kCellAcquired, {{"epoch", s.epoch}, {"term", term}});
   log_.RecordTakeoverTime("acquired", s.last_tick - s.claim_started);
   out.push_back({s.epoch, std::nullopt, [this, epoch = s.epoch] {
@@ -330,7 +341,19 @@
   Update([&](state& s, effects& out) {
     if (s.epoch != epoch || s.current_phase == phase::kIdle) return;
     StepDown(s, epoch, cause, out);
-    out.push_back({epoch, std::nullopt, hooks_.on_fenced});
+    out.push_back({epoch, std::nullopt, [this, epoch] { hooks_.on_fenced(epoch); }});
+  });
+}
+
+void cell_owner::OnFenceCall(std::uint64_t epoch, peer_reply reply) {
+  Update([&](state& s, effects& out) {
+    // The epoch of an open claim is not known yet. The journal refuses it if it is older.
+    const bool owns = s.current_phase != phase::kIdle && s.current_phase != phase::kClaiming;
+    if (owns && s.epoch < epoch) {
+      StepDown(s, s.epoch, "fenced by a newer owner", out);
+      out.push_back({s.epoch, std::nullopt, [this, old = s.epoch] { hooks_.on_fenced(old); }});
+    }
+    out.push_back({s.epoch, std::nullopt, [reply = std::move(reply)] { reply({}); }});
   });
 }
 
@@ -430,7 +453,8 @@
             },
             [&](const job_state_call& asked) { s.scheduler->State(number, asked.job); },
             [&](const pending_jobs_call& pending) { s.scheduler->Pending(number, pending.queue); },
-            [](const advice_call&) {}, [](const offer_call&) {}, [](const announce_call&) {}},
+            [](const advice_call&) {}, [](const offer_call&) {}, [](const announce_call&) {},
+            [](const fence_call&) {}},
         call);
   });
 }
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -32,8 +32,8 @@
     std::function<void(std::uint64_t epoch)> on_claimed;
     std::function<void(const owner_info&)> on_owned;
     std::function<void()> on_lost;
-    // A newer owner has fenced this one.
-    std::function<void()> on_fenced;
+    // A newer owner has fenced this process, which owned the cell under `epoch`.
+    std::function<void(std::uint64_t epoch)> on_fenced;
     // Appends to the journal have had no success for some time.
     std::function<void()> on_journal_stalled;
   };
@@ -44,6 +44,9 @@
   void OnMembers(owner_candidacy candidacy, time_point requested_at);
   // Handles the announcement of a process that can ask the policy service.
   void OnAnnounced(const member_info& member);
+  // Gives up the cell if this process claimed it under an epoch before `epoch`, and calls `reply`
+  // once it renews no lease under it any more.
+  void OnFenceCall(std::uint64_t epoch, peer_reply reply);
   // Handles the newest claim in the directory.
   void OnClaim(const owner_info& claim);
   // Gives up ownership of the cell permanently: this process does not claim it again.
@@ -71,6 +74,8 @@
     // Identifies a claim until its answer gives the epoch.
     std::uint64_t claim_number = 0;
     time_point claim_started;
+    // Last time at which the journal was known to have no newer owner.
+    time_point confirmed_at;
     // Member lists requested before this time do not lead to a new claim.
     time_point stepped_down_at;
     bool retired = false;
@@ -119,6 +124,7 @@
   void SendClaim(std::uint64_t claim);
   void OnClaimed(std::uint64_t claim, const result<std::uint64_t>& offset);
   void StartFencing(state& s, std::uint64_t epoch, effects& out);
+  void OnConfirmed(std::uint64_t epoch, time_point at);
   void OnFenced(std::uint64_t epoch, errc code);
   void LoadJournal(std::uint64_t epoch, const std::string& after);
   void OnJournalPage(std::uint64_t epoch, const result<stream_page>& page,
@@ -144,6 +150,7 @@
   void PollHost(std::uint64_t epoch, const cell::poll_host& poll);
   void StartTask(std::uint64_t epoch, const cell::start_task& start);
   void StopTask(std::uint64_t epoch, const cell::stop_task& stop);
+  void FenceOwner(std::uint64_t epoch, const cell::fence_owner& call);
   void RequestAdvice(std::uint64_t epoch, const cell::request_advice& ask);
   void OnAdvised(std::uint64_t epoch, std::uint64_t question, const std::string& member,
                  const result<std::vector<approved_host>>& outcome);
--- a/packages/control/src/cell_owner_effects.cc
+++ b/packages/control/src/cell_owner_effects.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr duration kFenceCallTimeout = std::chrono::milliseconds(1000);
+
 std::int64_t Milliseconds(duration time) { return time.count() / 1000; }
 
 }  // namespace
@@ -29,6 +31,7 @@
                           port_.throttle_task(pace, [](cell::call_outcome) {});
                         },
                         [&](const cell::request_advice& ask) { RequestAdvice(epoch, ask); },
+                        [&](const cell::fence_owner& call) { FenceOwner(epoch, call); },
                         [&](const cell::step_down&) { OnFencedOut(epoch, "fenced by a host"); },
                         [&](const cell::log_decision& note) { LogDecision(epoch, note); },
                         [](const cell::answer_call&) {}},
@@ -72,6 +75,19 @@
   });
 }
 
+// A process that owned the cell has ended if nothing listens at its address.
+void cell_owner::FenceOwner(std::uint64_t epoch, const cell::fence_owner& call) {
+  port_.call_peer(call.address, fence_call{epoch}, kFenceCallTimeout,
+                  [this, epoch, address = call.address](const result<peer_answer>& outcome) {
+                    const bool confirmed = outcome && outcome->code == errc::kOk;
+                    const bool ended = !outcome && outcome.detail() == kNoListenerDetail;
+                    if (!confirmed && !ended) return;
+                    UpdateScheduler(epoch, [&](cell::scheduler& scheduler) {
+                      scheduler.OnOwnerFenced(address, port_.now());
+                    });
+                  });
+}
+
 void cell_owner::RequestAdvice(std::uint64_t epoch, const cell::request_advice& ask) {
   std::optional<member_info> chosen;
   Update([&](state& s, effects&) {
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -35,6 +35,10 @@
   SerializeFields(archive, value.term);
 }
 template <class Archive>
+void serialize(Archive& archive, lease_granters_record& value) {
+  SerializeFields(archive, value.addresses);
+}
+template <class Archive>
 void serialize(Archive& archive, accepted_record& value) {
   SerializeFields(archive, value.queue, value.accepted_ms, value.spec);
 }
@@ -89,6 +93,10 @@
   SerializeFields(archive, value.member);
 }
 template <class Archive>
+void serialize(Archive& archive, fence_call& value) {
+  SerializeFields(archive, value.epoch);
+}
+template <class Archive>
 void serialize(Archive& archive, owner_info& value) {
   SerializeFields(archive, value.epoch, value.address);
 }
@@ -109,6 +117,7 @@
 
 // A key is a kind letter followed by the job number in 16 hexadecimal digits or the host id.
 constexpr char kTermKey = 't';
+constexpr char kGrantersKey = 'o';
 constexpr char kAcceptedKey = 'j';
 constexpr char kProgressKey = 's';
 constexpr char kHostKey = 'h';
@@ -139,6 +148,13 @@
   return std::from_chars(key.data() + 1, end, job, 16).ptr == end;
 }
 
+template <class Record>
+result<cell::journal_record> DecodeRecord(std::string_view value) {
+  Record record;
+  if (const errc code = DecodeInto(value, record); code != errc::kOk) return code;
+  return cell::journal_record(std::move(record));
+}
+
 template <class Record>
 result<cell::journal_record> DecodeJobRecord(std::string_view key, std::string_view value) {
   Record record;
@@ -158,6 +174,9 @@
   std::visit(overloaded{[&](const cell::term_record& row) {
                           out.push_back({std::string(1, kTermKey), Encode(row)});
                         },
+                        [&](const cell::lease_granters_record& row) {
+                          out.push_back({std::string(1, kGrantersKey), Encode(row)});
+                        },
                         [&](const cell::accepted_record& row) {
                           out.push_back({JobKey(kAcceptedKey, row.job), Encode(row)});
                         },
@@ -182,11 +201,10 @@
 result<cell::journal_record> DecodeJournalRecord(std::string_view key, std::string_view value) {
   if (key.empty()) return errc::kMalformed;
   switch (key.front()) {
-    case kTermKey: {
-      cell::term_record record;
-      if (const errc code = DecodeInto(value, record); code != errc::kOk) return code;
-      return cell::journal_record(record);
-    }
+    case kTermKey:
+      return DecodeRecord<cell::term_record>(value);
+    case kGrantersKey:
+      return DecodeRecord<cell::lease_granters_record>(value);
     case kAcceptedKey:
       return DecodeJobRecord<cell::accepted_record>(key, value);
     case kProgressKey:
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -30,7 +30,8 @@
               {[this] { return group->Name(); },
                [this](std::uint64_t epoch) { group->OnClaim(group->Name(), epoch); },
                [this](const owner_info& info) { router.LearnOwner(info); },
-               [this] { router.ForgetOwner(options.self.address); }, [this] { group->YieldCell(); },
+               [this] { router.ForgetOwner(options.self.address); },
+               [this](std::uint64_t epoch) { group->YieldCell(epoch); },
                [this] { group->OfferCell(); }}),
         router(
             port, RouterOptions(),
@@ -197,6 +198,9 @@
     answer.owner = p.router.Owner();
     return reply(std::move(answer));
   }
+  if (const auto* fence = std::get_if<fence_call>(&call)) {
+    return p.owner.OnFenceCall(fence->epoch, std::move(reply));
+  }
   p.owner.Call(call, [&p, reply = std::move(reply)](peer_answer answer) {
     answer.owner = p.router.Owner();
     reply(std::move(answer));
--- a/packages/control/src/decision_log.cc
+++ b/packages/control/src/decision_log.cc
@@ -40,6 +40,12 @@
       return event_number::kCellHostAvoided;
     case decision_kind::kRecoveryFinished:
       return event_number::kRecoveryFinished;
+    case decision_kind::kOwnerFenced:
+      return event_number::kOwnerFenced;
+    case decision_kind::kLeasesGranted:
+      return event_number::kLeasesGranted;
+    case decision_kind::kLeasesPaused:
+      return event_number::kLeasesPaused;
     case decision_kind::kStepWaits:
       return event_number::kCellStepWaits;
     case decision_kind::kGangStarted:
--- a/packages/control/src/journal_writer.cc
+++ b/packages/control/src/journal_writer.cc
@@ -21,6 +21,8 @@
 // answers in 400 ms.
 constexpr duration kFailingLimit = std::chrono::milliseconds(300);
 constexpr duration kSilentLimit = std::chrono::milliseconds(1000);
+// Bounds the time until a writer is confirmed again once the store is back.
+constexpr duration kConfirmationCheckInterval = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -55,15 +57,52 @@
   // Any other error is left to the next attempt, which is already scheduled.
   if (code != errc::kOk && code != errc::kStaleTerm) return;
   std::function<void(errc)> done;
+  bool first = false;
   {
     const std::lock_guard lock(mutex_);
     if (stopped_ || !fence_done_) return;
     done = std::exchange(fence_done_, nullptr);
     UpdateAnswerTime(sent);
+    confirmed_at_ = std::max(confirmed_at_, sent);
+    first = !std::exchange(confirmation_scheduled_, true);
   }
+  if (code == errc::kOk) handlers_.on_confirmed(sent);
+  if (first) ScheduleConfirmation();
   done(code);
 }
 
+void journal_writer::ScheduleConfirmation() {
+  port_.run_at(port_.now() + kConfirmationCheckInterval,
+               [self = shared_from_this()] { self->RequestConfirmation(); });
+}
+
+// An append without records is accepted only from a writer that has not been fenced.
+void journal_writer::RequestConfirmation() {
+  const time_point now = port_.now();
+  {
+    const std::lock_guard lock(mutex_);
+    if (stopped_) return;
+    if (now - confirmed_at_ < options_.confirm_interval) return ScheduleConfirmation();
+  }
+  port_.append(stream_name::kJournal, append_guard{options_.producer, epoch_, 0}, {},
+               [self = shared_from_this(), now](const result<std::uint64_t>& outcome) {
+                 self->OnConfirmation(outcome.code(), now);
+               });
+  ScheduleConfirmation();
+}
+
+void journal_writer::OnConfirmation(errc code, time_point sent) {
+  if (code != errc::kOk && code != errc::kStaleTerm) return;
+  {
+    const std::lock_guard lock(mutex_);
+    if (stopped_) return;
+    if (code == errc::kOk) confirmed_at_ = std::max(confirmed_at_, sent);
+    if (code == errc::kStaleTerm) stopped_ = true;
+  }
+  if (code == errc::kOk) return handlers_.on_confirmed(sent);
+  handlers_.on_fenced();
+}
+
 duration journal_writer::RetryDelay(std::uint32_t attempt) const {
   const duration first =
       std::clamp(answer_time_ * kRetryAnswerTimes, kMinRetryDelay, kMaxFirstRetryDelay);
@@ -163,6 +202,7 @@
                                 const result<std::uint64_t>& outcome) {
   errc code;
   std::uint64_t durable = 0;
+  time_point confirmed;
   bool changed = false;
   bool more = false;
   {
@@ -176,6 +216,9 @@
     if (stored) {
       UpdateAnswerTime(sent);
       durable = current_.last_sequence;
+      // The store may repeat its answer to an earlier attempt after a newer writer has fenced.
+      confirmed = batch_started_;
+      confirmed_at_ = std::max(confirmed_at_, confirmed);
       sending_ = false;
       more = !pending_.empty();
     }
@@ -185,6 +228,7 @@
   if (code == errc::kStaleTerm) return handlers_.on_fenced();
   // Any other error is left to the next attempt, which is already scheduled.
   if (code != errc::kOk) return;
+  handlers_.on_confirmed(confirmed);
   handlers_.on_durable(durable);
   if (more) SendNextBatch();
 }
--- a/packages/control/src/journal_writer.h
+++ b/packages/control/src/journal_writer.h
@@ -21,11 +21,15 @@
   duration batch_delay = std::chrono::milliseconds(8);
   // A batch is closed once its keys and values reach this size.
   std::size_t batch_bytes = std::size_t{1} << 20;
+  // A writer that has been confirmed by no append for this long asks the store.
+  duration confirm_interval = std::chrono::milliseconds(1000);
 };
 
 struct journal_handlers {
   // All records up to this sequence are durable.
   std::function<void(std::uint64_t sequence)> on_durable;
+  // No writer of a higher epoch had fenced this one at `at`.
+  std::function<void(time_point at)> on_confirmed;
   // A writer of a higher epoch has fenced this one; no further record is stored.
   std::function<void()> on_fenced;
   // The store stopped or resumed accepting appends.
@@ -38,7 +42,8 @@
   journal_writer(const ports& port, journal_options options, std::uint64_t epoch,
                  journal_handlers handlers);
 
-  // Fences the writers of earlier epochs; retries until the store answers kOk or kStaleTerm.
+  // Fences the writers of earlier epochs; retries until the store answers kOk or kStaleTerm. From
+  // then on the store is asked at intervals whether this writer has been fenced.
   void Fence(std::function<void(errc)> done);
   void Add(std::uint64_t sequence, const cell::journal_record& record);
   // Time since the first attempt of the append in flight; zero if there is none.
@@ -62,6 +67,9 @@
                   const result<std::uint64_t>& outcome);
   void SendFence(std::uint32_t attempt);
   void OnFenced(errc code, time_point sent);
+  void ScheduleConfirmation();
+  void RequestConfirmation();
+  void OnConfirmation(errc code, time_point sent);
   duration RetryDelay(std::uint32_t attempt) const;
   void UpdateAnswerTime(time_point sent);
   errc ClassifyOutcome(const result<std::uint64_t>& outcome) const;
@@ -82,6 +90,8 @@
   time_point batch_started_;
   std::uint64_t next_append_sequence_ = 1;
   std::function<void(errc)> fence_done_;
+  bool confirmation_scheduled_ = false;
+  time_point confirmed_at_;
   // Moving average of the time to an answer; zero before the first one.
   duration answer_time_{};
 };
--- a/packages/control/src/membership.cc
+++ b/packages/control/src/membership.cc
@@ -213,6 +213,13 @@
                                     : "the previous one is no longer listed";
 }
 
+// Returns false while the claim of the owner that fenced this process has not been read.
+bool membership::KnowsNewestClaim() const {
+  return superseded_epoch_ == 0 ||
+         std::any_of(claims_.begin(), claims_.end(),
+                     [this](const auto& row) { return row.second > superseded_epoch_; });
+}
+
 // Returns the listed member with the newest claim; empty if there is none.
 std::string membership::OwnerAmong(const std::vector<member_info>& members) const {
   std::string owner;
@@ -262,7 +269,7 @@
     return owner_candidacy::kOther;
   }
   if (!Lists(members, own)) return owner_candidacy::kUnlisted;
-  const bool may_own = own == owner || now >= earliest_claim_;
+  const bool may_own = own == owner || (now >= earliest_claim_ && KnowsNewestClaim());
   return may_own && best == own ? owner_candidacy::kPreferred : owner_candidacy::kOther;
 }
 
@@ -325,8 +332,12 @@
   claims_.erase(std::min_element(claims_.begin(), claims_.end(), epoch_of));
 }
 
-void membership::YieldCell() {
+void membership::YieldCell(std::uint64_t epoch) {
   const std::lock_guard lock(mutex_);
+  superseded_epoch_ = std::max(superseded_epoch_, epoch);
+  // Its own claim may be the newest one that it knows, but it is not the newest.
+  const auto claim = claims_.find(FormatMemberName(self_));
+  if (claim != claims_.end() && claim->second <= superseded_epoch_) claims_.erase(claim);
   earliest_claim_ = port_.now() + options_.join_interval * kRejoinIntervals;
 }
 
--- a/packages/control/src/membership.h
+++ b/packages/control/src/membership.h
@@ -61,8 +61,9 @@
   void OnOffer(const std::string& member);
   // Handles a claim of the cell, of this process or another one.
   void OnClaim(const std::string& member, std::uint64_t epoch);
-  // Called when a newer owner has fenced this process: it claims the cell again only after a while.
-  void YieldCell();
+  // Called when a newer owner has fenced this process, which owned the cell under `epoch`: it
+  // claims the cell again only after a while, and once it knows the claim of that owner.
+  void YieldCell(std::uint64_t epoch);
   // Reports whether the owner answers this process. The list is read more often while it does not.
   void SetOwnerAnswers(bool answers);
 
@@ -76,6 +77,7 @@
   std::vector<member_info> Parse(const std::vector<std::string>& names) const;
   bool ShouldBeCandidate(const std::vector<member_info>& members) const;
   owner_candidacy Evaluate(const std::vector<member_info>& members, std::string& best);
+  bool KnowsNewestClaim() const;
   std::string OwnerAmong(const std::vector<member_info>& members) const;
   bool IsBriefGap(const std::string& owner, bool listed);
   std::string_view CauseOfChange(const std::vector<member_info>& members) const;
@@ -111,6 +113,8 @@
   bool lapsed_ = false;
   // This process does not claim the cell before this time.
   time_point earliest_claim_;
+  // A claim newer than this one is in the directory, although it may not have been read yet.
+  std::uint64_t superseded_epoch_ = 0;
 };
 
 }  // namespace sycamorehinge::control
--- a/packages/control/tests/codec_test.cc
+++ b/packages/control/tests/codec_test.cc
@@ -39,6 +39,9 @@
   CHECK(submit.spec.steps[0].size == Sample().steps[0].size);
   CHECK(submit.spec.steps[0].gang);
   CHECK(submit.spec.first_start_ms == -5);
+  const auto fence = DecodeCall(EncodeCall(fence_call{9}));
+  REQUIRE(fence);
+  CHECK(std::get<fence_call>(*fence).epoch == 9);
   peer_answer answer = ErrorAnswer(errc::kOverloaded, std::chrono::seconds(2));
   answer.approved = {{host_id{"h"}, "ticket"}};
   answer.owner = {7, "10.0.0.1:1"};
@@ -62,7 +65,8 @@
   EncodeJournalRecord(progress, records);
   EncodeJournalRecord(cell::term_record{9}, records);
   EncodeJournalRecord(cell::host_record{host_id{"i-1"}, "10.0.0.1:1", "s"}, records);
-  REQUIRE(records.size() == 4);
+  EncodeJournalRecord(cell::lease_granters_record{{"10.0.0.1:1", "10.0.0.2:1"}}, records);
+  REQUIRE(records.size() == 5);
   const auto accepted = DecodeJournalRecord(records[0].key, *records[0].value);
   REQUIRE(accepted);
   CHECK(std::get<cell::accepted_record>(*accepted).job == 0xab);
@@ -78,6 +82,9 @@
         9);
   const auto host = DecodeJournalRecord(records[3].key, *records[3].value);
   CHECK(std::get<cell::host_record>(*host).host.value == "i-1");
+  const auto granters = DecodeJournalRecord(records[4].key, *records[4].value);
+  REQUIRE(granters);
+  CHECK(std::get<cell::lease_granters_record>(*granters).addresses.size() == 2);
 }
 
 // Guards against keys that stay in the store after their job is forgotten.
--- a/packages/control/tests/fake_store.cc
+++ b/packages/control/tests/fake_store.cc
@@ -1,5 +1,6 @@
 #include "fake_store.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sycamorehinge::control::testing {
@@ -33,6 +34,12 @@
   return available && !crashed.contains(process) && (found == cut_off.end() || !found->second);
 }
 
+bool fake_store::IsCutOffFromPeers(const std::string& process, std::string_view address) const {
+  if (cut_off_from_peers.contains(process)) return true;
+  return std::any_of(cut_off_from_peers.begin(), cut_off_from_peers.end(),
+                     [&](const std::string& name) { return address == name + ":1"; });
+}
+
 void fake_store::Put(stream_name name, const std::string& key, const std::string& value) {
   (void)Append(name, std::nullopt, {{key, value, 0}});
 }
@@ -235,29 +242,39 @@
 }
 
 void fake_store::AddHosts(ports& port, const std::string& process) {
-  port.poll_host = [this, process](const cell::poll_host&, auto done) {
+  port.poll_host = [this, process](const cell::poll_host& poll, auto done) {
     const bool fenced = hosts_fence_cut_off && !IsReachable(process);
-    RunAfter(answer_delay, [done, fenced] {
-      if (fenced) return done(cell::call_outcome::kFenced, nullptr);
-      cell::host_report report;
-      report.clock_ms = 1000;
-      done(cell::call_outcome::kDone, &report);
-    });
+    cell::host_report report;
+    const auto outcome =
+        fenced ? cell::call_outcome::kFenced : hosts.Poll(process, poll, now, report);
+    RunAfter(outcome == cell::call_outcome::kNoAnswer ? kTimeout : answer_delay,
+             [done, outcome, report] {
+               done(outcome, outcome == cell::call_outcome::kDone ? &report : nullptr);
+             });
   };
-  port.start_task = [this](const cell::start_task&, auto done) {
-    RunAfter(answer_delay, [done] { done({cell::call_outcome::kDone, 1000}); });
+  port.start_task = [this, process](const cell::start_task& start, auto done) {
+    const cell::start_report report = hosts.Start(process, start, now);
+    RunAfter(report.outcome == cell::call_outcome::kNoAnswer ? kTimeout : answer_delay,
+             [done, report] { done(report); });
   };
-  port.stop_task = [this](const cell::stop_task&, auto done) {
-    RunAfter(answer_delay, [done] { done(cell::call_outcome::kDone); });
+  port.stop_task = [this, process](const cell::stop_task& stop, auto done) {
+    const cell::call_outcome outcome = hosts.Stop(process, stop, now);
+    RunAfter(outcome == cell::call_outcome::kNoAnswer ? kTimeout : answer_delay,
+             [done, outcome] { done(outcome); });
   };
   port.throttle_task = [](const cell::throttle_task&, auto) {};
   port.advise = [](const cell::task_ref&, const std::vector<host_id>&, duration, auto) {};
   port.call_peer = [this, process](std::string_view address, const peer_call& call, duration,
                                    auto done) {
     if (crashed.contains(process)) return;
+    if (IsCutOffFromPeers(process, address)) {
+      return RunAfter(kTimeout, [done] { done(errc::kTimeout); });
+    }
     const auto found = peers.find(std::string(address));
     if (found == peers.end()) {
-      RunAfter(answer_delay, [done] { done({errc::kConnectionFailed, "refused"}); });
+      RunAfter(answer_delay, [done] {
+        done({errc::kConnectionFailed, std::string(kNoListenerDetail)});
+      });
       return;
     }
     RunAfter(answer_delay, [this, call, done, target = found->second] {
--- a/packages/control/tests/fake_store.h
+++ b/packages/control/tests/fake_store.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "fake_hosts.h"
 #include "sycamorehinge/control/ports.h"
 
 namespace sycamorehinge::control::testing {
@@ -18,7 +19,7 @@
 
 class fake_store {
  public:
-  // Returns the ports of one process. Hosts accept every order and advice never completes.
+  // Returns the ports of one process. Advice never completes.
   ports PortsOf(const std::string& process);
   // Advances the clock in steps of 1 ms and runs the tasks that are due.
   void Run(duration time);
@@ -59,6 +60,9 @@
   // Handlers of calls between processes, by address.
   using peer = std::function<void(const peer_call&, std::function<void(peer_answer)>)>;
   std::map<std::string, peer> peers;
+  // Processes that no call of another process reaches, and whose calls reach none.
+  std::set<std::string> cut_off_from_peers;
+  fake_hosts hosts;
   std::uint32_t appends = 0;
   std::uint32_t reads = 0;
 
@@ -83,6 +87,7 @@
   void OnMembersChanged();
   void ReleasePartitions(const std::string& member);
   bool IsReachable(const std::string& process) const;
+  bool IsCutOffFromPeers(const std::string& process, std::string_view address) const;
 
   std::multimap<time_point, std::function<void()>> timers_;
   std::map<stream_name, stream> streams_;
--- a/packages/control/tests/journal_writer_test.cc
+++ b/packages/control/tests/journal_writer_test.cc
@@ -13,6 +13,7 @@
   void Open(std::uint64_t epoch) {
     journal_handlers handlers;
     handlers.on_durable = [this](std::uint64_t sequence) { durable = sequence; };
+    handlers.on_confirmed = [this](time_point at) { confirmed = at; };
     handlers.on_fenced = [this] { fenced = true; };
     handlers.on_availability = [this](bool now_available) { available = now_available; };
     writer = std::make_shared<journal_writer>(port, journal_options{"cell"}, epoch, handlers);
@@ -22,6 +23,7 @@
   ports port;
   std::shared_ptr<journal_writer> writer;
   std::uint64_t durable = 0;
+  time_point confirmed;
   bool fenced = false;
   bool available = true;
 };
@@ -68,6 +70,30 @@
   CHECK(fixture.store.Newest(stream_name::kJournal).size() == 1);
 }
 
+// Guards against an owner without work that does not notice that it was replaced, and against one
+// that counts a confirmation from the answer instead of from the request.
+TEST_CASE("An idle writer is confirmed at intervals until a newer one fences it") {
+  journal_fixture fixture;
+  fixture.writer->Fence([](errc) {});
+  fixture.store.Run(milliseconds(5000));
+  CHECK(fixture.store.now - fixture.confirmed <= milliseconds(1500));
+  fixture.store.answer_delay = milliseconds(300);
+  fixture.store.Run(milliseconds(1000));
+  const time_point cut = fixture.store.now;
+  fixture.store.available = false;
+  fixture.store.Run(milliseconds(3000));
+  CHECK(fixture.confirmed <= cut);
+  CHECK_FALSE(fixture.fenced);
+  fixture.store.available = true;
+  auto newer = std::make_shared<journal_writer>(fixture.port, journal_options{"cell"}, 2,
+                                                journal_handlers{{}, [](time_point) {}, {}, {}});
+  newer->Fence([](errc) {});
+  fixture.store.Run(milliseconds(1000));
+  CHECK(fixture.fenced);
+  CHECK(fixture.confirmed <= cut);
+  newer->Stop();
+}
+
 // Guards against retries that add load to a store that is only slow.
 TEST_CASE("Appends to a slow store are not retried once its answer time is known") {
   journal_fixture fixture;
--- a/packages/entry/src/peer_calls.cc
+++ b/packages/entry/src/peer_calls.cc
@@ -6,6 +6,18 @@
 
 namespace sycamorehinge {
 
+namespace {
+
+// Returns the error of a call without a response in the terms of control::ports::call_peer.
+result<control::peer_answer> FailureOf(const result<http_client_response>& reply) {
+  if (MayHaveBeenSent(reply)) return {reply.code(), std::string(reply.detail())};
+  const bool refused = reply.detail() == kRefusedDetail;
+  return {errc::kConnectionFailed,
+          std::string(refused ? control::kNoListenerDetail : control::kCallNotSentDetail)};
+}
+
+}  // namespace
+
 void CallPeer(http_client& http, std::string_view address, const control::peer_call& call,
               duration timeout, control::completion<control::peer_answer> done) {
   http_client_request request;
@@ -15,11 +27,7 @@
   request.timeout = timeout;
   http.Send(std::move(request),
             [done = std::move(done)](const result<http_client_response>& reply) {
-              if (!reply) {
-                const bool sent = MayHaveBeenSent(reply);
-                return done({sent ? reply.code() : errc::kConnectionFailed,
-                             std::string(sent ? reply.detail() : kRefusedDetail)});
-              }
+              if (!reply) return done(FailureOf(reply));
               if (reply->status != 200)
                 return done({errc::kHttpStatus, std::to_string(reply->status)});
               done(control::DecodeAnswer(reply->body));
--- a/packages/net/include/sycamorehinge/net/http_client.h
+++ b/packages/net/include/sycamorehinge/net/http_client.h
@@ -36,9 +36,10 @@
   duration connect_time{};
 };
 
-// Detail of kConnectionFailed when the request was definitely not sent.
+// Detail of kConnectionFailed when nothing listens at the address, so that the request was not
+// sent.
 inline constexpr std::string_view kRefusedDetail = "refused";
-// Detail of kTimeout when the timeout expired before the request was sent.
+// Detail of kConnectionFailed and kTimeout when the request was not sent for another reason.
 inline constexpr std::string_view kNotSentDetail = "not sent";
 
 // False only if the request definitely did not reach the server.
@@ -66,7 +67,7 @@
   http_client& operator=(const http_client&) = delete;
 
   // Calls `done` exactly once, on the client thread and never from inside Send. Errors:
-  //   kConnectionFailed, detail "refused": the request was definitely not sent.
+  //   kConnectionFailed, detail "refused" or "not sent": the request was definitely not sent.
   //   kConnectionFailed, any other detail: unknown whether the request took effect. Includes
   //     truncated and oversized responses and connections lost after the request was sent.
   //   kTimeout: unknown whether the request took effect, or not sent if the detail is "not sent".
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -365,7 +365,7 @@
     }
     for (auto& task : rejected.tasks) task();
     for (auto& [call, done] : rejected.calls) {
-      done({errc::kConnectionFailed, std::string(kRefusedDetail)});
+      done({errc::kConnectionFailed, std::string(kNotSentDetail)});
     }
     return !rejected.tasks.empty() || !rejected.calls.empty();
   }
--- a/packages/net/src/http_transfer.cc
+++ b/packages/net/src/http_transfer.cc
@@ -1,6 +1,7 @@
 #include "http_transfer.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <string>
 #include <utility>
 
@@ -159,7 +160,12 @@
     return {errc::kMalformed, "invalid URL: " + call_.url};
   }
   if (too_large_) return {errc::kConnectionFailed, "response too large"};
-  if (!sent) return {errc::kConnectionFailed, std::string(kRefusedDetail)};
+  if (!sent) {
+    long os_error = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_OS_ERRNO, &os_error);
+    const bool refused = code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
+    return {errc::kConnectionFailed, std::string(refused ? kRefusedDetail : kNotSentDetail)};
+  }
   return {errc::kConnectionFailed, std::string(FailureDetail(code))};
 }
 
--- a/packages/net/tests/http_test.cc
+++ b/packages/net/tests/http_test.cc
@@ -101,6 +101,11 @@
   CHECK(refused.code() == errc::kConnectionFailed);
   CHECK(refused.detail() == kRefusedDetail);
 
+  // Some process may listen at an address that cannot be reached.
+  const auto unreachable = SendAndWait(client, MakePost("http://host.invalid:1"));
+  CHECK(unreachable.code() == errc::kConnectionFailed);
+  CHECK(unreachable.detail() == kNotSentDetail);
+
   raw_server reset(raw_behaviour::kCloseAfterRequest);
   const auto broken = SendAndWait(client, MakePost(reset.Address()));
   CHECK(broken.code() == errc::kConnectionFailed);
--- a/packages/node/src/host_tasks.cc
+++ b/packages/node/src/host_tasks.cc
@@ -24,9 +24,10 @@
     case errc::kFailed:
       return attempt_fact::kFailed;
     case errc::kTimeout:
-      return answer.detail() == "not sent" ? attempt_fact::kNever : attempt_fact::kUnreachable;
     case errc::kConnectionFailed:
-      return answer.detail() == "refused" ? attempt_fact::kNever : attempt_fact::kUnreachable;
+      return answer.detail() == "not sent" || answer.detail() == "refused"
+                 ? attempt_fact::kNever
+                 : attempt_fact::kUnreachable;
     default:
       return attempt_fact::kUnreachable;
   }
--- a/packages/telemetry/include/sycamorehinge/telemetry/events.h
+++ b/packages/telemetry/include/sycamorehinge/telemetry/events.h
@@ -108,6 +108,9 @@
   kMembershipOverdue,
   kOwnerPreferred,
   kMemberUnreadable,
+  kOwnerFenced,
+  kLeasesGranted,
+  kLeasesPaused,
   // Decisions about jobs and tasks of the cell.
   kCellJobAccepted = 8101,
   kCellJobRefused,
--- a/packages/telemetry/src/event_catalogue.cc
+++ b/packages/telemetry/src/event_catalogue.cc
@@ -217,6 +217,17 @@
                       "the group or a claim names a member whose name cannot be parsed; it is "
                       "ignored",
                       "check whether processes of another version run"},
+    event_description{kOwnerFenced, kInfo, "owner_fenced",
+                      "an earlier owner of the cell renews no lease any more; the subject is its "
+                      "address",
+                      "none"},
+    event_description{kLeasesGranted, kInfo, "leases_granted",
+                      "the owner of the cell renews leases from now on", "none"},
+    event_description{
+        kLeasesPaused, kWarning, "leases_paused",
+        "the store has not confirmed the ownership of the cell for after_ms, so the owner renews "
+        "no lease and starts no task; work ends when its lease expires",
+        "check the store and the network"},
     event_description{kCellJobAccepted, kInfo, "job_accepted",
                       "a job was accepted and is written to the journal", "none"},
     event_description{kCellJobRefused, kInfo, "job_refused", "a job was refused and will not run",
