cell: leases of idle hosts are not longer than the next owner assumes

A start on an idle host computed its deadline from the host's clock as it was last read, which can be long ago.

Change: the deadline allows for the drift since the reading, and the clock of an idle host is read again after 30 s, so that a start loses 0.6 s of its lease at most.

Test: cell_test "The lease of a host that was idle for long is not longer than those of others" failed before (10 s <= 5 s); all cell and control tests pass.

--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -17,6 +17,9 @@
 constexpr duration kMinRestartTime = std::chrono::milliseconds(500);
 // Delay before an idle host gets an extra poll just to acknowledge its ends.
 constexpr duration kAcknowledgementDelay = std::chrono::milliseconds(1500);
+// The clock of an idle host is read again after this time. Its drift since then shortens the lease
+// of the next start, by 0.6 s at most.
+constexpr duration kMaxClockAge = std::chrono::seconds(30);
 
 }  // namespace
 
@@ -111,7 +114,8 @@
 bool scheduler::state::NeedsPoll(const host_state& host) const {
   if (!host.polled) return host.listed || host.journaled;
   return !host.runs.empty() || host.orphan_runs > 0 || !host.unjournaled_ends.empty() ||
-         host.acknowledged_end < host.journaled_end || host.poll_failures > 0;
+         host.acknowledged_end < host.journaled_end || host.poll_failures > 0 ||
+         (host.listed && now - host.clock_read_at >= kMaxClockAge);
 }
 
 void scheduler::state::TickHost(host_slot slot) {
--- a/packages/cell/src/leases.cc
+++ b/packages/cell/src/leases.cc
@@ -90,13 +90,14 @@
 }
 
 // Extends the lease of the host. Returns its expiry on the host's clock and records the expiry on
-// the local clock. The lease of an unreachable host is not extended: unanswered calls may still
-// reach it, and its tasks must expire.
+// the local clock. The host's clock may have run slow since it was read. The lease of an
+// unreachable host is not extended: unanswered calls may still reach it, and its tasks must expire.
 std::int64_t scheduler::state::ExtendLease(host_state& host) {
   host.lease_sent_at = now;
   if (host.poll_failures > 0) return host.deadline_ms;
-  const std::int64_t deadline =
-      host.clock_ms + ToMs(now - host.clock_read_at) + ToMs(options.lease);
+  const auto passed =
+      std::chrono::duration_cast<duration>((now - host.clock_read_at) * (1 - options.clock_drift));
+  const std::int64_t deadline = host.clock_ms + ToMs(passed + options.lease);
   host.deadline_ms = std::max(host.deadline_ms, deadline);
   const auto left = std::chrono::milliseconds(host.deadline_ms - host.clock_ms);
   host.lease_expires = std::max(host.lease_expires, host.clock_read_at + LongestTime(left));
--- a/packages/cell/tests/recovery_test.cc
+++ b/packages/cell/tests/recovery_test.cc
@@ -165,6 +165,23 @@
   CHECK(cell.violations.empty());
 }
 
+// Guards against a lease that is longer than the next owner assumes: the host had been idle for so
+// long that its slow clock was far behind the expected one.
+TEST_CASE("The lease of a host that was idle for long is not longer than those of others") {
+  simulated_cell cell;
+  cell.AddQueue("q");
+  const double drift = GENERATE(0.0, 0.02);
+  cell.AddHost("h0", kHost).clock_drift = drift;
+  cell.StartFirstOwner();
+  cell.Run(std::chrono::minutes(10));
+  cell.Submit(1, "q", OneStep(1, 6000, seconds(60)));
+  REQUIRE(cell.RunUntil([&] { return cell.Running(1) == 1; }, seconds(1)));
+  CHECK(cell.LeaseLeft("h0") <= scheduler_options{}.lease);
+  cell.Run(seconds(30));
+  CHECK(cell.Running(1) == 1);
+  CHECK(cell.tasks[{1, 0, 0, 0}].starts == 1);
+}
+
 // Guards against an unanswered start that takes effect while its task runs elsewhere.
 TEST_CASE("An unanswered start is resolved before its task starts elsewhere") {
   simulated_cell cell;
--- a/packages/cell/tests/simulated_cell.cc
+++ b/packages/cell/tests/simulated_cell.cc
@@ -229,7 +229,13 @@
 }
 
 std::int64_t simulated_cell::ClockOf(const fake_host& host) const {
-  return host.clock_offset_ms + now.time_since_epoch().count() / 1000;
+  const double passed = static_cast<double>(now.time_since_epoch().count()) / 1000;
+  return host.clock_offset_ms + static_cast<std::int64_t>(passed * (1 - host.clock_drift));
+}
+
+duration simulated_cell::LeaseLeft(const std::string& name) const {
+  const fake_host& host = hosts.at(name);
+  return milliseconds(host.lease_until_ms - ClockOf(host));
 }
 
 const step_spec* simulated_cell::SpecOf(const task_ref& task) const {
--- a/packages/cell/tests/simulated_cell.h
+++ b/packages/cell/tests/simulated_cell.h
@@ -44,6 +44,8 @@
   std::uint64_t acknowledged_end = 0;
   std::map<task_ref, std::uint32_t> highest_ended;
   std::int64_t clock_offset_ms = 0;
+  // Fraction by which the clock runs slow.
+  double clock_drift = 0;
   std::int64_t lease_until_ms = 0;
   // Connections are refused until then.
   time_point down_until;
@@ -141,6 +143,8 @@
   bool stepped_down = false;
 
   fake_host& Host(const std::string& name) { return hosts.at(name); }
+  // Time left of the host's lease, on its clock.
+  duration LeaseLeft(const std::string& name) const;
   std::uint32_t Running(job_number job) const;
 
  private:
