control: a claim that is sent again is stored once

Cause: SendClaim repeats a claim after 350 ms, a slow store answers after 372 ms, and each repeat was a new record. The owner used the epoch of the first record, all routers that of the second. After a denial while the owner was loading they kept the newer epoch without an address.

Change: a claim is the only record of a writer of its own, with the number of the claim as its epoch, so the store answers a repeat with the first offset. Related path: a newer claim that is read while the owner loads is checked once the owner has begun, also if it names the same process.

--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -35,7 +35,12 @@
 
 cell_owner::cell_owner(const ports& port, const control_options& options, decision_log& log,
                        hooks given)
-    : port_(port), options_(options), log_(log), hooks_(std::move(given)), state_(options.self) {}
+    : port_(port),
+      options_(options),
+      log_(log),
+      hooks_(std::move(given)),
+      started_ms_(port.wall_ms()),
+      state_(options.self) {}
 
 void cell_owner::Update(const std::function<void(state&, effects&)>& change) {
   state_.Apply(
@@ -146,22 +151,29 @@
   out.push_back({s.epoch, std::nullopt, [this, claim] { SendClaim(claim); }});
 }
 
-// A claim without an answer is repeated; duplicates are harmless, as all name this process.
+// A claim without an answer is repeated. The store stores it once, since the claim number is the
+// epoch of a writer of this process alone, and it stores no earlier claim of this process after it.
 void cell_owner::SendClaim(std::uint64_t claim) {
   const bool open = state_.View([&](const state& s) {
     return s.current_phase == phase::kClaiming && s.claim_number == claim;
   });
   if (!open) return;
-  port_.append(stream_name::kDirectory, std::nullopt,
-               {{std::string(kOwnerKey), hooks_.member_name()}},
+  const std::string name = hooks_.member_name();
+  port_.append(stream_name::kDirectory,
+               append_guard{name + "/" + std::to_string(started_ms_), claim, 1},
+               {{std::string(kOwnerKey), name}},
                [this, claim](const result<std::uint64_t>& offset) { OnClaimed(claim, offset); });
   port_.run_at(port_.now() + kClaimRetryInterval, [this, claim] { SendClaim(claim); });
 }
 
 void cell_owner::OnClaimed(std::uint64_t claim, const result<std::uint64_t>& offset) {
-  if (!offset) return;
+  // An earlier process with this name and start time, after a clock was set back, claimed more
+  // often.
+  const bool used = offset.code() == errc::kStaleTerm || offset.code() == errc::kVersionConflict;
+  if (!offset && !used) return;
   Update([&](state& s, effects& out) {
     if (s.current_phase != phase::kClaiming || s.claim_number != claim) return;
+    if (used) return Claim(s, out);
     StartFencing(s, *offset + 1, out);
   });
 }
@@ -305,6 +317,7 @@
                    hooks_.on_owned({epoch, options_.self.address});
                    ScheduleTick(epoch);
                  }});
+  if (s.newest_claim > s.epoch) ScheduleFenceCheck(s, out);
 }
 
 void cell_owner::ApplyHostSnapshot(state& s, const std::vector<stream_record>& records) {
@@ -359,19 +372,22 @@
 
 void cell_owner::OnClaim(const owner_info& claim) {
   Update([&](state& s, effects& out) {
-    if (s.current_phase != phase::kActive || claim.epoch <= s.epoch) return;
-    if (claim.address == options_.self.address) return;
-    out.push_back({s.epoch, std::nullopt, [this, epoch = s.epoch] {
-                     port_.run_at(port_.now() + kClaimGracePeriod,
-                                  [this, epoch] { CheckFence(epoch); });
-                   }});
+    s.newest_claim = std::max(s.newest_claim, claim.epoch);
+    if (s.current_phase == phase::kActive && claim.epoch > s.epoch) ScheduleFenceCheck(s, out);
   });
 }
 
-// Runs some time after another process claimed the cell. If that process has fenced this owner,
-// this owner steps down. If not, the claim was applied late by the store and its process does not
-// own the cell, but calls are routed to it as the newest claim; this owner then claims the cell
-// again.
+void cell_owner::ScheduleFenceCheck(const state& s, effects& out) {
+  out.push_back({s.epoch, std::nullopt, [this, epoch = s.epoch] {
+                   port_.run_at(port_.now() + kClaimGracePeriod,
+                                [this, epoch] { CheckFence(epoch); });
+                 }});
+}
+
+// Runs some time after a newer claim than that of this owner was seen. If that process has fenced
+// this owner, this owner steps down. If not, the claim was applied late by the store and its
+// process does not own the cell, but calls are routed to it as the newest claim; this owner then
+// claims the cell again.
 void cell_owner::CheckFence(std::uint64_t epoch) {
   Update([&](state& s, effects& out) {
     if (s.current_phase != phase::kActive || s.epoch != epoch) return;
@@ -385,7 +401,7 @@
   if (code != errc::kOk) return OnFencedOut(epoch, "fenced by the journal");
   Update([&](state& s, effects& out) {
     if (s.current_phase != phase::kActive || s.epoch != epoch) return;
-    StepDown(s, epoch, "the directory names another process", out);
+    StepDown(s, epoch, "the directory has a newer claim", out);
     Claim(s, out);
   });
 }
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -73,6 +73,8 @@
     std::uint64_t epoch = 0;
     // Identifies a claim until its answer gives the epoch.
     std::uint64_t claim_number = 0;
+    // Newest epoch in the directory.
+    std::uint64_t newest_claim = 0;
     time_point claim_started;
     // Last time at which the journal was known to have no newer owner.
     time_point confirmed_at;
@@ -138,6 +140,7 @@
   void StepDown(state& s, std::uint64_t epoch, std::string_view cause, effects& out);
   void OnFencedOut(std::uint64_t epoch, std::string_view cause);
   void Tick(std::uint64_t epoch, time_point due);
+  void ScheduleFenceCheck(const state& s, effects& out);
   void CheckFence(std::uint64_t epoch);
   void OnFenceChecked(std::uint64_t epoch, errc code);
   void ScheduleTick(std::uint64_t epoch);
@@ -159,6 +162,8 @@
   const control_options& options_;
   decision_log& log_;
   const hooks hooks_;
+  // Identifies this process among earlier ones of the same name.
+  const std::int64_t started_ms_;
   shard<state, effect> state_;
 };
 
--- a/packages/control/tests/fake_store.cc
+++ b/packages/control/tests/fake_store.cc
@@ -9,6 +9,7 @@
 
 constexpr duration kTimeout = milliseconds(1000);
 constexpr duration kTick = milliseconds(1);
+constexpr std::size_t kRepeatedAnswers = 5;
 
 }  // namespace
 
@@ -56,14 +57,19 @@
     if (guard->epoch < known.epoch) return errc::kStaleTerm;
     // A writer with a higher epoch may start at any sequence.
     if (guard->epoch > known.epoch) {
-      known = {guard->epoch, guard->sequence - (records.empty() ? 0 : 1)};
+      known = {guard->epoch, guard->sequence - (records.empty() ? 0 : 1), {}};
     }
     if (!records.empty()) {
-      if (guard->sequence == known.sequence) return std::uint64_t{0};
+      // A repeat of one of the last appends gets the first answer again.
+      if (const auto first = known.offsets.find(guard->sequence); first != known.offsets.end()) {
+        return first->second;
+      }
       if (guard->sequence != known.sequence + 1) {
         return {errc::kVersionConflict, std::to_string(known.sequence + 1)};
       }
       known.sequence = guard->sequence;
+      known.offsets[guard->sequence] = target.records.size();
+      if (known.offsets.size() > kRepeatedAnswers) known.offsets.erase(known.offsets.begin());
     }
   }
   const std::uint64_t offset = target.records.size();
@@ -138,7 +144,9 @@
 ports fake_store::PortsOf(const std::string& process) {
   ports port;
   port.now = [this] { return now; };
-  port.wall_ms = [this] { return 1'800'000'000'000 + now.time_since_epoch().count() / 1000; };
+  port.wall_ms = [this] {
+    return 1'800'000'000'000 + (now + wall_offset).time_since_epoch().count() / 1000;
+  };
   port.run_at = [this](time_point when, std::function<void()> task) {
     timers_.emplace(std::max(when, now + kTick), std::move(task));
   };
--- a/packages/control/tests/fake_store.h
+++ b/packages/control/tests/fake_store.h
@@ -49,6 +49,8 @@
   std::size_t group_partitions = 32;
   // Added to the time until a new member is listed, by process.
   std::map<std::string, duration> listing_lag;
+  // Added to the wall clock of all processes.
+  duration wall_offset{};
   // Processes that get no answer from the store.
   std::map<std::string, bool> cut_off;
   // Processes whose calls do not arrive anywhere.
@@ -70,6 +72,8 @@
   struct writer {
     std::uint64_t epoch = 0;
     std::uint64_t sequence = 0;
+    // Offsets of the last appends, by sequence.
+    std::map<std::uint64_t, std::uint64_t> offsets;
   };
   struct stream {
     std::vector<stream_record> records;
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -170,6 +170,79 @@
   CHECK(group.Call("p1", Job(1)) == errc::kOk);
 }
 
+// Guards against two epochs of one owner: a claim that is sent again because its answer is late was
+// stored twice, the owner used the first epoch and all processes expected the second. Once a call
+// had been denied while the owner was loading, no process knew it any more (review/3).
+TEST_CASE("A claim whose answer is late is stored once, and all processes know the owner") {
+  cluster group(4);
+  group.store.Run(seconds(3));
+  REQUIRE(group.Call("p0", Job(1)) == errc::kOk);
+  group.store.answer_delay = milliseconds(372);
+  group.Kill("p0");
+  // Callers ask all the time, also while the next owner is loading.
+  for (int i = 0; i < 100; ++i) {
+    for (const char* name : {"p1", "p2", "p3"}) {
+      group.nodes[name]->Call(job_state_call{1}, group.store.now + milliseconds(300),
+                              [](const peer_answer&) {});
+    }
+    group.store.Run(milliseconds(60));
+  }
+  group.store.answer_delay = milliseconds(4);
+  group.store.Run(seconds(2));
+  const std::string owner = group.OwnerName();
+  REQUIRE(owner.size() == 2);
+  const std::vector<stream_record> claims = group.store.Newest(stream_name::kDirectory);
+  CHECK(claims.front().offset == 1);
+  for (const char* name : {"p1", "p2", "p3"}) {
+    CAPTURE(name);
+    const owner_info known = group.nodes[name]->Summary().owner;
+    CHECK(known.address == owner + ":1");
+    CHECK(known.epoch == claims.front().offset + 1);
+    CHECK(group.Call(name, job_state_call{1}, milliseconds(50)) == errc::kOk);
+  }
+}
+
+// Guards against a process that claims the cell for ever in vain, since the store takes it for an
+// earlier process of its machine that claimed more often.
+TEST_CASE("A process whose clock shows the start time of an earlier one can claim the cell") {
+  cluster group(1);
+  // The owner claims the cell again, as the directory names a process that is gone.
+  group.store.Run(seconds(3));
+  group.store.Put(stream_name::kDirectory, std::string(kOwnerKey), MemberName("p9"));
+  group.store.Run(seconds(3));
+  group.Kill("p0");
+  group.store.wall_offset = -seconds(6);
+  group.Start("p0.1", "p0");
+  group.store.Run(seconds(3));
+  CHECK(group.OwnerName() == "p0.1");
+}
+
+// Guards against a process that owns the cell under an older epoch than the directory names: a
+// claim that the store carried out late, while the process was loading, was ignored.
+TEST_CASE("A claim that is carried out late while an owner loads does not mislead the processes") {
+  cluster group(3);
+  group.store.Run(seconds(3));
+  group.store.answer_delay = milliseconds(250);
+  group.Kill("p0");
+  const auto claimed = [&] {
+    return group.store.Newest(stream_name::kDirectory).front().offset > 0;
+  };
+  while (!claimed()) group.store.Run(milliseconds(1));
+  const std::string claimant = GENERATE("p1", "p9");
+  group.store.Put(stream_name::kDirectory, std::string(kOwnerKey), MemberName(claimant));
+  group.store.Run(seconds(3));
+  group.store.answer_delay = milliseconds(4);
+  group.store.Run(seconds(4));
+  const std::string owner = group.OwnerName();
+  REQUIRE(owner.size() == 2);
+  const stream_record named = group.store.Newest(stream_name::kDirectory).front();
+  CHECK(*named.value == MemberName(owner));
+  for (const char* name : {"p1", "p2"}) {
+    CHECK(group.nodes[name]->Summary().owner.epoch == named.offset + 1);
+    CHECK(group.Call(name, Job(1), milliseconds(100)) == errc::kOk);
+  }
+}
+
 // Guards against two processes, one of them the former owner, that forward calls to each other
 // while both are cut off from the store (scenario trouble-1: 9 s).
 TEST_CASE("A process that is cut off from the store finds the owner through its peers") {
