--- a/packages/cell/src/leases.cc
+++ b/packages/cell/src/leases.cc
@@ -73,7 +73,7 @@
 }
 
 bool scheduler::state::MayGrantLeases() const {
-  return durable >= term_sequence && now < confirmed_at + options.grant_period;
+  return TermRecorded() && now < confirmed_at + options.grant_period;
 }
 
 void scheduler::state::OnOwnershipConfirmed(time_point at) {
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -60,6 +60,8 @@
   state_->Pass();
 }
 
+bool scheduler::TermRecorded() const { return state_->TermRecorded(); }
+
 void scheduler::SetStartsAllowed(bool may_start) {
   if (may_start && !state_->may_start) state_->pass_needed = true;
   state_->may_start = may_start;
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -351,6 +351,7 @@
   void FenceEarlierOwners();
   void OnOwnerFenced(std::string_view address);
   void OnOwnershipConfirmed(time_point at);
+  bool TermRecorded() const { return owner && durable >= term_sequence; }
   bool MayGrantLeases() const;
   void CheckGrants();
   std::int64_t ExtendLease(host_state& host);
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -57,14 +57,14 @@
 void cell_owner::UpdateScheduler(std::uint64_t epoch,
                                  const std::function<void(cell::scheduler&)>& change) {
   Update([&](state& s, effects&) {
-    if (s.current_phase == phase::kActive && s.epoch == epoch) change(*s.scheduler);
+    if (s.HasBegun() && s.epoch == epoch) change(*s.scheduler);
   });
 }
 
 // A process that was paused may have been replaced as the owner, so it starts no task until the
 // group confirms it.
 void cell_owner::CheckTickDelay(state& s) {
-  if (s.current_phase != phase::kActive) return;
+  if (!s.HasBegun()) return;
   const time_point now = port_.now();
   const duration pause = now - s.last_tick;
   if (pause <= options_.max_tick_delay) return;
@@ -119,8 +119,7 @@
       }
       return;
     }
-    if (s.current_phase == phase::kActive && requested_at >= s.resumed_at)
-      s.scheduler->SetStartsAllowed(true);
+    if (s.HasBegun() && requested_at >= s.resumed_at) s.scheduler->SetStartsAllowed(true);
     if (s.current_phase == phase::kIdle && requested_at > s.stepped_down_at) Claim(s, out);
   });
 }
@@ -185,10 +184,7 @@
   out.push_back({epoch, std::nullopt, [this, epoch] { hooks_.on_claimed(epoch); }});
   LogTakeoverStage(s, event_number::kCellClaimed);
   journal_handlers handlers;
-  handlers.on_durable = [this, epoch](std::uint64_t sequence) {
-    UpdateScheduler(epoch,
-                    [sequence](cell::scheduler& scheduler) { scheduler.OnDurable(sequence); });
-  };
+  handlers.on_durable = [this, epoch](std::uint64_t sequence) { OnDurable(epoch, sequence); };
   handlers.on_confirmed = [this, epoch](time_point at) { OnConfirmed(epoch, at); };
   handlers.on_fenced = [this, epoch] { OnFencedOut(epoch, "fenced by the journal"); };
   handlers.on_availability = [this](bool available) {
@@ -266,7 +262,7 @@
     if (s.current_phase != phase::kLoading || s.epoch != epoch) return;
     s.journal_read = true;
     LogTakeoverStage(s, event_number::kJournalRead, "journal");
-    ActivateIfLoaded(s, out);
+    BeginTermIfLoaded(s, out);
   });
 }
 
@@ -296,30 +292,43 @@
     if (!std::exchange(s.hosts_read, true)) {
       LogTakeoverStage(s, event_number::kJournalRead, "hosts");
     }
-    ActivateIfLoaded(s, out);
+    BeginTermIfLoaded(s, out);
   });
 }
 
-// Starts the scheduler once the journal, the hosts and the configuration are loaded. Without the
+// Begins the term once the journal, the hosts and the configuration are loaded. Without the
 // configuration it would apply default limits and end jobs that have attempts left.
-void cell_owner::ActivateIfLoaded(state& s, effects& out) {
+void cell_owner::BeginTermIfLoaded(state& s, effects& out) {
   if (s.current_phase != phase::kLoading || !s.journal_read || !s.hosts_read || !s.config) return;
-  s.current_phase = phase::kActive;
+  s.current_phase = phase::kBeginning;
   s.last_tick = port_.now();
   s.scheduler->SetConfig(s.config);
   UpdatePolicyClients(s);
   const std::uint64_t term = s.scheduler->LoadedTerm() + 1;
   s.scheduler->OnOwnershipConfirmed(s.confirmed_at);
   s.scheduler->BeginTerm(term, s.epoch, options_.self.address, s.last_tick, port_.wall_ms());
-  log_.Write(event_number::kCellAcquired, {{"epoch", s.epoch}, {"term", term}});
-  log_.RecordTakeoverTime("acquired", s.last_tick - s.claim_started);
-  out.push_back({s.epoch, std::nullopt, [this, epoch = s.epoch] {
-                   hooks_.on_owned({epoch, options_.self.address});
-                   ScheduleTick(epoch);
-                 }});
+  out.push_back({s.epoch, std::nullopt, [this, epoch = s.epoch] { ScheduleTick(epoch); }});
   if (s.newest_claim > s.epoch) ScheduleFenceCheck(s, out);
 }
 
+// The process acts as the owner once the record of its term is durable. A newer owner that fenced
+// the journal before has not read that record and begins the same term; after it, it begins a later
+// one.
+void cell_owner::OnDurable(std::uint64_t epoch, std::uint64_t sequence) {
+  Update([&](state& s, effects& out) {
+    if (!s.HasBegun() || s.epoch != epoch) return;
+    s.scheduler->OnDurable(sequence);
+    if (s.current_phase == phase::kActive || !s.scheduler->TermRecorded()) return;
+    s.current_phase = phase::kActive;
+    log_.Write(event_number::kCellAcquired,
+               {{"epoch", epoch}, {"term", s.scheduler->LoadedTerm() + 1}});
+    log_.RecordTakeoverTime("acquired", port_.now() - s.claim_started);
+    out.push_back({epoch, std::nullopt, [this, epoch] {
+                     hooks_.on_owned({epoch, options_.self.address});
+                   }});
+  });
+}
+
 void cell_owner::ApplyHostSnapshot(state& s, const std::vector<stream_record>& records) {
   std::vector<host_id> gone = std::exchange(s.listed_hosts, {});
   for (const stream_record& record : records) {
@@ -373,7 +382,7 @@
 void cell_owner::OnClaim(const owner_info& claim) {
   Update([&](state& s, effects& out) {
     s.newest_claim = std::max(s.newest_claim, claim.epoch);
-    if (s.current_phase == phase::kActive && claim.epoch > s.epoch) ScheduleFenceCheck(s, out);
+    if (s.HasBegun() && claim.epoch > s.epoch) ScheduleFenceCheck(s, out);
   });
 }
 
@@ -390,7 +399,7 @@
 // claims the cell again.
 void cell_owner::CheckFence(std::uint64_t epoch) {
   Update([&](state& s, effects& out) {
-    if (s.current_phase != phase::kActive || s.epoch != epoch) return;
+    if (!s.HasBegun() || s.epoch != epoch) return;
     out.push_back({epoch, std::nullopt, [this, epoch, journal = s.journal] {
                      journal->Fence([this, epoch](errc code) { OnFenceChecked(epoch, code); });
                    }});
@@ -400,7 +409,7 @@
 void cell_owner::OnFenceChecked(std::uint64_t epoch, errc code) {
   if (code != errc::kOk) return OnFencedOut(epoch, "fenced by the journal");
   Update([&](state& s, effects& out) {
-    if (s.current_phase != phase::kActive || s.epoch != epoch) return;
+    if (!s.HasBegun() || s.epoch != epoch) return;
     StepDown(s, epoch, "the directory has a newer claim", out);
     Claim(s, out);
   });
@@ -436,7 +445,7 @@
   Update([&](state& s, effects& out) {
     s.config = config;
     if (s.scheduler) s.scheduler->SetConfig(config);
-    ActivateIfLoaded(s, out);
+    BeginTermIfLoaded(s, out);
   });
 }
 
@@ -487,7 +496,7 @@
 
 void cell_owner::ScheduleTick(std::uint64_t epoch) {
   const auto next = state_.View([&](const state& s) -> std::optional<time_point> {
-    if (s.current_phase != phase::kActive || s.epoch != epoch) return std::nullopt;
+    if (!s.HasBegun() || s.epoch != epoch) return std::nullopt;
     return s.scheduler->NextTick();
   });
   if (next) port_.run_at(*next, [this, epoch, due = *next] { Tick(epoch, due); });
@@ -496,7 +505,7 @@
 void cell_owner::Tick(std::uint64_t epoch, time_point due) {
   const time_point now = port_.now();
   Update([&](state& s, effects& out) {
-    if (s.current_phase != phase::kActive || s.epoch != epoch) return;
+    if (!s.HasBegun() || s.epoch != epoch) return;
     s.last_tick = now;
     s.longest_tick_delay = std::max(s.longest_tick_delay, now - due);
     s.scheduler->Tick(now, port_.wall_ms());
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -67,7 +67,16 @@
     std::uint64_t records = 0;
     std::uint64_t answers = 0;
   };
-  enum class phase { kIdle, kClaiming, kFencing, kLoading, kActive };
+  enum class phase {
+    kIdle,
+    kClaiming,
+    kFencing,
+    kLoading,
+    // The scheduler has begun its term and asks the hosts for their runs.
+    kBeginning,
+    // The journal holds the record of the term: no other owner has the same one.
+    kActive,
+  };
   struct state {
     phase current_phase = phase::kIdle;
     std::uint64_t epoch = 0;
@@ -106,6 +115,9 @@
     std::vector<cell::action> actions;
 
     explicit state(member_info self) : advice(std::move(self)) {}
+    bool HasBegun() const {
+      return current_phase == phase::kBeginning || current_phase == phase::kActive;
+    }
   };
   // Runs after the lock is released: an action of the scheduler in `epoch`, or a function.
   struct effect {
@@ -116,7 +128,7 @@
   using effects = std::vector<effect>;
 
   void Update(const std::function<void(state&, effects&)>& change);
-  // Applies `change` if this process still owns the cell under `epoch`.
+  // Applies `change` if the scheduler has begun its term under `epoch`.
   void UpdateScheduler(std::uint64_t epoch, const std::function<void(cell::scheduler&)>& change);
   void CollectActions(state& s, effects& out);
   static void CountAction(const cell::action& action, call_counts& sent);
@@ -134,7 +146,8 @@
   void LoadHosts(std::uint64_t epoch);
   void OnHostSnapshot(std::uint64_t epoch, const std::vector<stream_record>& records);
   void OnHostChange(std::uint64_t epoch, const stream_record& record);
-  void ActivateIfLoaded(state& s, effects& out);
+  void BeginTermIfLoaded(state& s, effects& out);
+  void OnDurable(std::uint64_t epoch, std::uint64_t sequence);
   void ApplyHostSnapshot(state& s, const std::vector<stream_record>& records);
   void ApplyHostRecord(state& s, const stream_record& record);
   void StepDown(state& s, std::uint64_t epoch, std::string_view cause, effects& out);
--- a/packages/control/src/cell_owner_effects.cc
+++ b/packages/control/src/cell_owner_effects.cc
@@ -92,7 +92,7 @@
   std::optional<member_info> chosen;
   Update([&](state& s, effects&) {
     chosen = s.advice.Choose(ask.service_time, port_.now());
-    const bool owned = s.current_phase == phase::kActive && s.epoch == epoch;
+    const bool owned = s.HasBegun() && s.epoch == epoch;
     if (!chosen && owned) s.scheduler->OnAdvice(ask.request_id, false, {}, port_.now());
   });
   if (!chosen) return;
@@ -125,7 +125,7 @@
   const time_point now = port_.now();
   Update([&](state& s, effects&) {
     s.advice.OnFinished(member, outcome.code(), now);
-    if (s.current_phase != phase::kActive || s.epoch != epoch) return;
+    if (!s.HasBegun() || s.epoch != epoch) return;
     std::vector<std::pair<host_id, std::string>> approved;
     if (outcome) {
       for (const approved_host& row : *outcome) approved.emplace_back(row.host, row.ticket);
--- a/packages/control/tests/fake_store.cc
+++ b/packages/control/tests/fake_store.cc
@@ -165,7 +165,8 @@
     if (!IsReachable(process)) return RunAfter(kTimeout, [done] { done(errc::kTimeout); });
     // A long poll answers after a tenth of its wait, with or without a change; that is enough for
     // followers.
-    RunAfter(answer_delay + wait / 10,
+    const duration delay = name == stream_name::kJournal ? journal_delays[process] : duration();
+    RunAfter(answer_delay + wait / 10 + delay,
              [this, name, position, done] { done(Read(name, position)); });
   };
   port.append = [this, process](stream_name name, const std::optional<append_guard>& guard,
--- a/packages/control/tests/fake_store.h
+++ b/packages/control/tests/fake_store.h
@@ -57,6 +57,8 @@
   std::set<std::string> crashed;
   // Added to the time until a join takes effect, by process.
   std::map<std::string, duration> join_delays;
+  // Added to the time until a read of the journal is answered, by process.
+  std::map<std::string, duration> journal_delays;
   // Hosts answer a process that is cut off as if a newer owner had fenced it.
   bool hosts_fence_cut_off = false;
   // Handlers of calls between processes, by address.
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -243,6 +243,27 @@
   }
 }
 
+// Guards against two owners that act in the same term and give the same run numbers: one that was
+// still loading began its term after a newer one had fenced the journal, and acted until its first
+// append failed.
+TEST_CASE("A process that was fenced while it loaded does not act as the owner") {
+  cluster group(0);
+  group.store.journal_delays["p0"] = milliseconds(2600);
+  group.Start(0);
+  group.store.Run(milliseconds(500));
+  REQUIRE(group.store.Newest(stream_name::kDirectory).size() == 1);
+  // The group drops p0, and p1 claims the cell.
+  group.store.join_delays["p0"] = seconds(5);
+  group.Start(1);
+  bool acted = false;
+  for (int i = 0; i < 4000; ++i) {
+    group.store.Run(milliseconds(1));
+    acted = acted || group.nodes["p0"]->Summary().owns_cell;
+  }
+  CHECK(group.OwnerName() == "p1");
+  CHECK_FALSE(acted);
+}
+
 // Guards against two processes, one of them the former owner, that forward calls to each other
 // while both are cut off from the store (scenario trouble-1: 9 s).
 TEST_CASE("A process that is cut off from the store finds the owner through its peers") {
