cell: a job that is cancelled before it arrives does not run

Cause: the submission was still on its way, held by a process that knew no owner or was paused. The owner did not know the job, answered 410 and kept nothing; later it accepted the submission.

A submission that meets it ends as cancelled. A call is given up after 30 s whatever its deadline, so that the record outlives it.

--- a/packages/cell/include/sycamorehinge/cell/records.h
+++ b/packages/cell/include/sycamorehinge/cell/records.h
@@ -64,6 +64,17 @@
   job_number job = 0;
 };
 
+// A job that was cancelled before its submission arrived.
+struct cancelled_record {
+  job_number job = 0;
+  // Time of the cancelling in Unix milliseconds.
+  std::int64_t cancelled_ms = 0;
+};
+// Removes a cancelled_record.
+struct remove_cancelled {
+  job_number job = 0;
+};
+
 // A host that the owner has used. A later owner polls it even if the platform no longer lists it.
 struct host_record {
   host_id host;
@@ -75,9 +86,9 @@
   host_id host;
 };
 
-using journal_record =
-    std::variant<term_record, lease_granters_record, accepted_record, progress_record,
-                 remove_accepted_job, remove_job, host_record, remove_host>;
+using journal_record = std::variant<term_record, lease_granters_record, accepted_record,
+                                    progress_record, remove_accepted_job, remove_job,
+                                    cancelled_record, remove_cancelled, host_record, remove_host>;
 
 }  // namespace sycamorehinge::cell
 
--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -51,6 +51,11 @@
   duration gang_timeout = std::chrono::milliseconds(3000);
   // Time for which the state of an ended job can still be queried.
   duration job_retention = std::chrono::seconds(150);
+  // Time for which the cancelling of an unknown job is kept. A submission is on its way for 30 s at
+  // most in a process that runs; the rest allows for processes that are paused.
+  duration early_cancel_retention = std::chrono::seconds(60);
+  // Maximum number of such cancellings, each a record that a new owner reads. More are refused.
+  std::size_t max_early_cancels = 4000;
   // A ticket must remain valid for at least this long when it is used.
   duration ticket_margin = std::chrono::milliseconds(200);
   // Maximum number of hosts in one request to the policy service.
@@ -130,10 +135,14 @@
   // Each produces one answer_call with the given number.
   void Submit(call_number call, job_number job, std::string_view queue, job_spec spec,
               time_point now, std::int64_t wall_ms);
+  // The answer kUnknownJob means that a submission of the job that arrives later will not run.
+  // Errors: kUnknownJob, kNotReady, kOverloaded.
   void Cancel(call_number call, job_number job, std::int64_t wall_ms);
   void State(call_number call, job_number job);
   // Returns whether the job was submitted before, and has not been removed since.
   bool Knows(job_number job) const;
+  // Returns whether the job was cancelled before its submission.
+  bool KnowsCancel(job_number job) const;
   void Pending(call_number call, std::string_view queue);
 
   // --- results of actions ---
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -66,6 +66,7 @@
                      Restore(job, row);
                    }
                  },
+                 [&](cancelled_record& row) { RestoreCancel(row); },
                  [&](host_record& row) {
                    host_state& host = hosts[SlotOf(row.host)];
                    host.journaled = true;
@@ -133,6 +134,7 @@
     LogDecision(decision_kind::kJobRefused, {number}, 0, {}, ErrorName(code));
     return Answer({call, code}, 0);
   }
+  if (SubmitCancelled(call, number, queue)) return;
   accepted_record record{number, std::string(queue), wall, std::move(spec)};
   job_entry& job = jobs[number];
   job.queue = record.queue;
@@ -316,7 +318,7 @@
   wall_ms = wall;
   if (!owner) return Answer({call, errc::kNotReady}, 0);
   job_entry* job = FindJob(number);
-  if (!job) return Answer({call, errc::kUnknownJob}, 0);
+  if (!job) return CancelUnknown(call, number);
   if (!job->Ended()) {
     FinishJob(number, *job, job_phase::kCancelled, "the caller cancelled it");
   }
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -101,6 +101,8 @@
 
 bool scheduler::Knows(job_number job) const { return state_->jobs.contains(job); }
 
+bool scheduler::KnowsCancel(job_number job) const { return state_->early_cancels.contains(job); }
+
 void scheduler::Pending(call_number call, std::string_view queue) { state_->Pending(call, queue); }
 
 void scheduler::OnPollResult(const host_id& host, time_point sent, call_outcome outcome,
@@ -157,6 +159,7 @@
   s.WriteDirtyJobs();
   s.CheckRecovery();
   s.RemoveExpiredJobs(wall_ms);
+  s.RemoveExpiredCancels();
   // Ticket validity, avoid times and reservation delays change with time alone.
   if (now >= s.next_full_pass && !s.waiting.empty()) {
     s.pass_needed = true;
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -141,6 +141,13 @@
   bool IsPeriodic() const { return spec.occurrences > 0; }
 };
 
+// Cancelling of a job that has not been submitted.
+struct early_cancel {
+  std::int64_t cancelled_ms = 0;
+  // Journal sequence of its record.
+  std::uint64_t sequence = 0;
+};
+
 struct host_state {
   host_entry entry;
   bool listed = false;
@@ -309,6 +316,12 @@
   time_point LatestStart(job_entry& job, std::uint32_t occurrence, std::uint32_t step) const;
   std::int64_t DueMs(const job_entry& job, std::uint32_t occurrence) const;
 
+  // --- cancelled jobs that are not known (cancels.cc) ---
+  void RestoreCancel(const cancelled_record& record);
+  void CancelUnknown(call_number call, job_number number);
+  bool SubmitCancelled(call_number call, job_number number, std::string_view queue);
+  void RemoveExpiredCancels();
+
   // --- journal and answers (journal.cc) ---
   std::uint64_t Write(journal_record record);
   void WriteProgress(job_number number, job_entry& job);
@@ -496,6 +509,9 @@
   std::vector<job_number> dirty_jobs;
   // End time in Unix milliseconds and job, oldest first.
   std::deque<std::pair<std::int64_t, job_number>> ended_jobs;
+  std::unordered_map<job_number, early_cancel> early_cancels;
+  // Time of the cancelling in Unix milliseconds, and job.
+  std::set<std::pair<std::int64_t, job_number>> early_cancel_times;
   // Due time of the next occurrence in Unix milliseconds, and job.
   std::set<std::pair<std::int64_t, job_number>> periodic_jobs;
   std::set<waiting_key> waiting;
--- a/packages/cell/tests/scheduler_test.cc
+++ b/packages/cell/tests/scheduler_test.cc
@@ -127,6 +127,7 @@
   cell.Submit(2, "q", OneStep(4, 2000, milliseconds(500)));
   CHECK(cell.RunUntil([&] { return cell.Phase(2) == job_phase::kCompleted; }, seconds(3)));
   cell.Cancel(3);
+  cell.Run(milliseconds(50));
   CHECK(cell.AnswerTo(3) == errc::kUnknownJob);
   CHECK(cell.StateCode(3) == errc::kUnknownJob);
 }
@@ -334,5 +335,63 @@
   CHECK(cell.violations.empty());
 }
 
+// Guards against tasks that nobody wants: a submission that was on its way when its job was
+// cancelled was accepted afterwards, and its tasks ran (UNASKED on ksd-oloklirosi).
+TEST_CASE("A submission that arrives after the cancelling of its job does not run") {
+  simulated_cell cell;
+  cell.AddQueue("q");
+  cell.AddHost("h0", {8000, 16'000, 0, 0});
+  cell.StartFirstOwner();
+  cell.Run(milliseconds(100));
+  cell.Cancel(1);
+  // The cancelling is acknowledged once it is durable.
+  CHECK(cell.AnswerTo(1) == errc::kInternal);
+  cell.Run(milliseconds(50));
+  CHECK(cell.AnswerTo(1) == errc::kUnknownJob);
+  SECTION("the same owner gets the submission") {}
+  SECTION("the next owner gets it") {
+    cell.ReplaceOwner();
+    cell.Run(milliseconds(100));
+  }
+  CHECK(cell.StateCode(1) == errc::kUnknownJob);
+  cell.Submit(1, "q", OneStep(2, 1000, milliseconds(300)));
+  cell.Run(seconds(1));
+  CHECK(cell.AnswerTo(1) == errc::kOk);
+  CHECK(cell.Phase(1) == job_phase::kCancelled);
+  CHECK(cell.tasks.empty());
+  cell.ReplaceOwner();
+  cell.Run(seconds(1));
+  CHECK(cell.Phase(1) == job_phase::kCancelled);
+  CHECK(cell.PendingJobs("q") == 0);
+}
+
+// Guards against memory and journal records that a flood of cancels for unknown jobs fills, and
+// against cancels that are acknowledged and forgotten in it.
+TEST_CASE("Cancels of unknown jobs are limited, kept, and forgotten in time") {
+  scheduler_options options;
+  options.max_early_cancels = 100;
+  simulated_cell cell(options);
+  cell.AddQueue("q");
+  cell.AddHost("h0", {8000, 16'000, 0, 0});
+  cell.StartFirstOwner();
+  for (job_number job = 1; job <= 150; ++job) cell.Cancel(job);
+  cell.Run(milliseconds(100));
+  for (job_number job = 1; job <= 150; ++job) {
+    CHECK(cell.AnswerTo(job) == (job <= 100 ? errc::kUnknownJob : errc::kOverloaded));
+  }
+  // Cancels of known jobs and repeated ones are not limited.
+  cell.Submit(200, "q", OneStep(1, 1000, seconds(9)));
+  cell.Run(milliseconds(100));
+  cell.Cancel(200);
+  cell.Cancel(1);
+  cell.Run(milliseconds(100));
+  CHECK(cell.AnswerTo(200) == errc::kOk);
+  CHECK(cell.AnswerTo(1) == errc::kUnknownJob);
+  cell.Run(options.early_cancel_retention);
+  cell.Cancel(150);
+  cell.Run(milliseconds(100));
+  CHECK(cell.AnswerTo(150) == errc::kUnknownJob);
+}
+
 }  // namespace
 }  // namespace sycamorehinge::cell::testing
--- a/packages/cell/tests/simulated_cell.cc
+++ b/packages/cell/tests/simulated_cell.cc
@@ -20,6 +20,8 @@
                  [](const progress_record& row) { return "s" + std::to_string(row.job); },
                  [](const remove_accepted_job& row) { return "j" + std::to_string(row.job); },
                  [](const remove_job& row) { return "s" + std::to_string(row.job); },
+                 [](const cancelled_record& row) { return "c" + std::to_string(row.job); },
+                 [](const remove_cancelled& row) { return "c" + std::to_string(row.job); },
                  [](const host_record& row) { return "h" + row.host.value; },
                  [](const remove_host& row) { return "h" + row.host.value; }},
       record);
@@ -27,7 +29,9 @@
 
 bool Removes(const journal_record& record) {
   return std::holds_alternative<remove_accepted_job>(record) ||
-         std::holds_alternative<remove_job>(record) || std::holds_alternative<remove_host>(record);
+         std::holds_alternative<remove_job>(record) ||
+         std::holds_alternative<remove_cancelled>(record) ||
+         std::holds_alternative<remove_host>(record);
 }
 
 std::string Text(const task_ref& task) {
--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -32,6 +32,7 @@
 
 void call_router::Call(peer_call call, time_point deadline, peer_reply reply) {
   const time_point now = port_.now();
+  deadline = std::min(deadline, now + options_.max_call_time);
   Update([&](routing_state& state, effects& out) {
     const std::uint64_t id = state.next_call++;
     open_call& open = state.calls[id];
--- a/packages/control/src/call_router.h
+++ b/packages/control/src/call_router.h
@@ -24,6 +24,10 @@
   duration attempt_timeout = std::chrono::milliseconds(1200);
   // Delay before the next attempt when no owner is known or the last attempt failed.
   duration retry_pause = std::chrono::milliseconds(60);
+  // A call is given up after this long whatever its deadline, so that a submission whose job has
+  // been cancelled meanwhile arrives while the owner knows of the cancelling
+  // (early_cancel_retention).
+  duration max_call_time = std::chrono::seconds(30);
   // A call that reached no owner is refused with kNotReady after this long.
   duration unsent_hold_limit = std::chrono::milliseconds(2000);
   // Retry hint for refused callers.
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -31,6 +31,17 @@
   return std::clamp<duration>(outage / 2, kMinOutageRetry, kMaxOutageRetry);
 }
 
+// Returns whether the answer to the call has to wait for a record that is not written yet.
+bool NeedsNewRecord(const cell::scheduler& scheduler, const peer_call& call) {
+  return std::visit(overloaded{[&](const submit_call& row) { return !scheduler.Knows(row.job); },
+                               [&](const cancel_call& row) {
+                                 return !scheduler.Knows(row.job) &&
+                                        !scheduler.KnowsCancel(row.job);
+                               },
+                               [](const auto&) { return false; }},
+                    call);
+}
+
 }  // namespace
 
 cell_owner::cell_owner(const ports& port, const control_options& options, decision_log& log,
@@ -457,9 +468,8 @@
       return;
     }
     const time_point now = port_.now();
-    const auto* submitted = std::get_if<submit_call>(&call);
     const duration outage = s.journal->OutageAge(now);
-    if (submitted && outage > duration::zero() && !s.scheduler->Knows(submitted->job)) {
+    if (outage > duration::zero() && NeedsNewRecord(*s.scheduler, call)) {
       out.push_back({s.epoch, std::nullopt, [reply = std::move(reply), outage] {
                        reply(ErrorAnswer(errc::kLogUnavailable, RetryAfterOutage(outage)));
                      }});
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -56,6 +56,10 @@
                   value.open);
 }
 template <class Archive>
+void serialize(Archive& archive, cancelled_record& value) {
+  SerializeFields(archive, value.cancelled_ms);
+}
+template <class Archive>
 void serialize(Archive& archive, host_record& value) {
   SerializeFields(archive, value.address, value.service);
 }
@@ -120,6 +124,7 @@
 constexpr char kGrantersKey = 'o';
 constexpr char kAcceptedKey = 'j';
 constexpr char kProgressKey = 's';
+constexpr char kCancelledKey = 'c';
 constexpr char kHostKey = 'h';
 constexpr std::size_t kJobDigits = 16;
 
@@ -189,6 +194,12 @@
                         [&](const cell::remove_job& row) {
                           out.push_back({JobKey(kProgressKey, row.job), std::nullopt});
                         },
+                        [&](const cell::cancelled_record& row) {
+                          out.push_back({JobKey(kCancelledKey, row.job), Encode(row)});
+                        },
+                        [&](const cell::remove_cancelled& row) {
+                          out.push_back({JobKey(kCancelledKey, row.job), std::nullopt});
+                        },
                         [&](const cell::host_record& row) {
                           out.push_back({kHostKey + row.host.value, Encode(row)});
                         },
@@ -209,6 +220,8 @@
       return DecodeJobRecord<cell::accepted_record>(key, value);
     case kProgressKey:
       return DecodeJobRecord<cell::progress_record>(key, value);
+    case kCancelledKey:
+      return DecodeJobRecord<cell::cancelled_record>(key, value);
     case kHostKey: {
       cell::host_record record;
       record.host.value = key.substr(1);
--- a/packages/control/tests/codec_test.cc
+++ b/packages/control/tests/codec_test.cc
@@ -66,7 +66,8 @@
   EncodeJournalRecord(cell::term_record{9}, records);
   EncodeJournalRecord(cell::host_record{host_id{"i-1"}, "10.0.0.1:1", "s"}, records);
   EncodeJournalRecord(cell::lease_granters_record{{"10.0.0.1:1", "10.0.0.2:1"}}, records);
-  REQUIRE(records.size() == 5);
+  EncodeJournalRecord(cell::cancelled_record{0xac, 77}, records);
+  REQUIRE(records.size() == 6);
   const auto accepted = DecodeJournalRecord(records[0].key, *records[0].value);
   REQUIRE(accepted);
   CHECK(std::get<cell::accepted_record>(*accepted).job == 0xab);
@@ -85,6 +86,10 @@
   const auto granters = DecodeJournalRecord(records[4].key, *records[4].value);
   REQUIRE(granters);
   CHECK(std::get<cell::lease_granters_record>(*granters).addresses.size() == 2);
+  const auto cancelled = DecodeJournalRecord(records[5].key, *records[5].value);
+  REQUIRE(cancelled);
+  CHECK(std::get<cell::cancelled_record>(*cancelled).job == 0xac);
+  CHECK(std::get<cell::cancelled_record>(*cancelled).cancelled_ms == 77);
 }
 
 // Guards against keys that stay in the store after their job is forgotten.
@@ -101,6 +106,11 @@
   EncodeJournalRecord(cell::remove_job{1}, records);
   CHECK(records[0].key == records[1].key);
   CHECK_FALSE(records[1].value);
+  records.clear();
+  EncodeJournalRecord(cell::cancelled_record{1, 0}, records);
+  EncodeJournalRecord(cell::remove_cancelled{1}, records);
+  CHECK(records[0].key == records[1].key);
+  CHECK_FALSE(records[1].value);
 }
 
 // Guards against crashes and unbounded allocation on malformed input.
