--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -41,6 +41,7 @@
   // The host list may be older than the start time reported in a poll.
   if (entry.started_ms > started_ms) OnStartTime(host, entry.started_ms);
   if (!host.polled) host.next_poll = std::min(host.next_poll, now);
+  if (host.polled) WriteHostRecord(host);
   pass_needed |= draining_before && !entry.draining;
   if (owner) TickHost(slot);
 }
@@ -106,9 +107,12 @@
   }
 }
 
+// A new owner looks for runs on listed hosts and on those in the journal. An entry of the list may
+// be missing for a while, so a host is used only once the journal holds its record.
 bool scheduler::state::IsUsable(const host_state& host) const {
-  return host.listed && host.polled && !host.entry.draining && host.poll_failures == 0 &&
-         host.orphan_runs == 0 && now >= host.avoid_until;
+  const bool recorded = host.journaled && durable >= host.record_sequence;
+  return host.listed && host.polled && recorded && !host.entry.draining &&
+         host.poll_failures == 0 && host.orphan_runs == 0 && now >= host.avoid_until;
 }
 
 bool scheduler::state::NeedsPoll(const host_state& host) const {
@@ -206,10 +210,7 @@
   host.acknowledged_end = std::max(host.acknowledged_end, host.polled_acknowledged_end);
   host.next_poll = now + options.min_poll_interval;
   ReadClock(host, answer->clock_ms);
-  if (!host.journaled) {
-    host.journaled = true;
-    Write(host_record{host.entry.id, host.entry.address, host.entry.service});
-  }
+  WriteHostRecord(host);
   std::uint64_t newest = host.processed_end;
   for (const end_report& end : answer->ended) {
     if (end.number <= hosts[slot].processed_end) continue;
@@ -296,6 +297,12 @@
       stop_task{host.entry.id, host.entry.address, token, report.task, report.run});
 }
 
+void scheduler::state::WriteHostRecord(host_state& host) {
+  if (std::exchange(host.journaled, true)) return;
+  host.record_sequence = Write(host_record{host.entry.id, host.entry.address, host.entry.service});
+  host_record_sequence = host.record_sequence;
+}
+
 void scheduler::state::RemoveHostRecord(host_state& host) {
   if (!host.journaled) return;
   host.journaled = false;
--- a/packages/cell/src/journal.cc
+++ b/packages/cell/src/journal.cc
@@ -72,6 +72,8 @@
 
 void scheduler::state::OnDurable(std::uint64_t upto) {
   if (upto <= durable) return;
+  // Hosts whose records are durable now can be used.
+  pass_needed = pass_needed || durable < host_record_sequence;
   durable = upto;
   while (!deferred_answers.empty() && deferred_answers.front().first <= durable) {
     actions.emplace_back(deferred_answers.front().second);
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -151,7 +151,9 @@
 struct host_state {
   host_entry entry;
   bool listed = false;
+  // The journal has a host_record of it, or will once it holds the one with this sequence.
   bool journaled = false;
+  std::uint64_t record_sequence = 0;
   // Has answered a poll in this term and since its last restart.
   bool polled = false;
   resources allocated;
@@ -354,6 +356,7 @@
   void ProcessRunningReports(host_slot slot, time_point sent, const host_report& answer);
   void AdoptRun(host_slot slot, const run_report& report);
   void StopOrphan(host_slot slot, const run_report& report);
+  void WriteHostRecord(host_state& host);
   void RemoveHostRecord(host_state& host);
   void AvoidHost(host_state& host, duration time, std::string_view cause);
   void CheckRecovery();
@@ -543,6 +546,8 @@
 
   std::uint64_t sequence = 0;
   std::uint64_t durable = 0;
+  // Sequence of the newest host_record.
+  std::uint64_t host_record_sequence = 0;
   // Answers sent once the journal holds the record with this sequence.
   std::deque<std::pair<std::uint64_t, answer_call>> deferred_answers;
   // Accepted jobs that start once the journal holds the record with this sequence.
--- a/packages/cell/tests/recovery_test.cc
+++ b/packages/cell/tests/recovery_test.cc
@@ -165,6 +165,42 @@
   CHECK(cell.violations.empty());
 }
 
+// Guards against a second run of a task on a host that the next owner does not know: the host list
+// has lost its entry in an outage of the store, and its record is not in the journal.
+TEST_CASE("No task starts on a host before the journal holds its record") {
+  simulated_cell cell;
+  cell.AddQueue("q");
+  cell.AddHost("h0", {1000, 16'000, 0, 0});
+  cell.StartFirstOwner();
+  cell.Submit(1, "q", OneStep(1, 6000, seconds(20)));
+  cell.Run(milliseconds(200));
+  SECTION("the host is new") {
+    cell.journal_available = false;
+    cell.AddHost("h1", kHost);
+  }
+  SECTION("the host was not listed for a while") {
+    fake_host& host = cell.AddHost("h1", kHost);
+    host.entry.draining = true;
+    cell.owner->SetHost(host.entry, cell.now);
+    cell.Run(milliseconds(200));
+    cell.owner->RemoveHost(host.entry.id, cell.now);
+    cell.Run(milliseconds(200));
+    cell.journal_available = false;
+    host.entry.draining = false;
+    cell.owner->SetHost(host.entry, cell.now);
+  }
+  cell.Run(seconds(1));
+  CHECK(cell.Running(1) == 0);
+  cell.KillOwner();
+  cell.Host("h1").listed = false;
+  cell.AddHost("h2", kHost);
+  cell.journal_available = true;
+  cell.ReplaceOwner();
+  cell.Run(seconds(1));
+  CHECK(cell.Running(1) == 1);
+  CHECK(cell.violations == std::vector<std::string>());
+}
+
 // Guards against a lease that is longer than the next owner assumes: the host had been idle for so
 // long that its slow clock was far behind the expected one.
 TEST_CASE("The lease of a host that was idle for long is not longer than those of others") {
--- a/packages/cell/tests/simulated_cell.cc
+++ b/packages/cell/tests/simulated_cell.cc
@@ -120,7 +120,9 @@
   KillOwner();
   owner = std::make_unique<scheduler>(options_);
   for (const auto& [key, record] : journal_) owner->Load(record);
-  for (const auto& [name, host] : hosts) owner->SetHost(host.entry, now);
+  for (const auto& [name, host] : hosts) {
+    if (host.listed) owner->SetHost(host.entry, now);
+  }
   owner->SetConfig(config_);
   if (!policy_clients.empty()) owner->SetPolicyClientCount(policy_clients.size());
   owner->OnOwnershipConfirmed(now);
--- a/packages/cell/tests/simulated_cell.h
+++ b/packages/cell/tests/simulated_cell.h
@@ -51,6 +51,8 @@
   time_point down_until;
   // No call reaches the host, but its tasks continue.
   bool partitioned = false;
+  // The next owner finds it in the host list.
+  bool listed = true;
   bool fails_all_tasks = false;
   bool stalled = false;
   // Starts have no effect and are not answered.
