control: an owner takes calls while the record of its term is written

Change: the process takes calls from the beginning of its term and answers them when the record of the term is durable.

--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -117,7 +117,8 @@
   std::uint64_t LoadedTerm() const;
   // Reports that the journal holds all records up to this sequence.
   void OnDurable(std::uint64_t sequence);
-  // Returns whether the journal holds the record of this term. Before that no task starts.
+  // Returns whether the journal holds the record of this term. Before that no task starts and no
+  // call is answered.
   bool TermRecorded() const;
   // While false, no task is started, since another process may have become the owner.
   void SetStartsAllowed(bool may_start);
--- a/packages/cell/src/journal.cc
+++ b/packages/cell/src/journal.cc
@@ -1,4 +1,5 @@
 // Journal writes, and the answers and jobs that wait until their records are durable.
+#include <algorithm>
 #include <utility>
 
 #include "state.h"
@@ -62,7 +63,10 @@
   return moved;
 }
 
+// Sends the answer once the journal holds the record with the sequence `after`. No answer is sent
+// before the record of the term is durable, as a newer owner may have fenced this one.
 void scheduler::state::Answer(const answer_call& answer, std::uint64_t after) {
+  after = std::max(after, term_sequence);
   if (after <= durable) {
     actions.emplace_back(answer);
   } else {
--- a/packages/cell/tests/recovery_test.cc
+++ b/packages/cell/tests/recovery_test.cc
@@ -258,6 +258,24 @@
   CHECK(cell.stepped_down);
 }
 
+// Guards against answers of an owner that a newer one has fenced before its term was recorded.
+TEST_CASE("A new owner answers calls once the journal holds the record of its term") {
+  simulated_cell cell;
+  StartCell(cell, 1);
+  cell.Submit(1, "q", OneStep(1, 1000, seconds(30)));
+  cell.Run(milliseconds(100));
+  cell.journal_available = false;
+  cell.ReplaceOwner();
+  cell.Submit(1, "q", OneStep(1, 1000, seconds(30)));
+  cell.Cancel(1);
+  cell.Run(milliseconds(500));
+  CHECK(cell.AnswerTo(1) == errc::kInternal);
+  cell.journal_available = true;
+  cell.Run(milliseconds(100));
+  CHECK(cell.AnswerTo(1) == errc::kOk);
+  CHECK(cell.Phase(1) == job_phase::kCancelled);
+}
+
 // Guards against ended jobs that become unknown or run again after a change of owner.
 TEST_CASE("A new owner knows the jobs that have ended") {
   simulated_cell cell;
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -318,7 +318,10 @@
   const std::uint64_t term = s.scheduler->LoadedTerm() + 1;
   s.scheduler->OnOwnershipConfirmed(s.confirmed_at);
   s.scheduler->BeginTerm(term, s.epoch, options_.self.address, s.last_tick, port_.wall_ms());
-  out.push_back({s.epoch, std::nullopt, [this, epoch = s.epoch] { ScheduleTick(epoch); }});
+  out.push_back({s.epoch, std::nullopt, [this, epoch = s.epoch] {
+                   hooks_.on_owned({epoch, options_.self.address});
+                   ScheduleTick(epoch);
+                 }});
   if (s.newest_claim > s.epoch) ScheduleFenceCheck(s, out);
 }
 
@@ -326,7 +329,7 @@
 // the journal before has not read that record and begins the same term; after it, it begins a later
 // one.
 void cell_owner::OnDurable(std::uint64_t epoch, std::uint64_t sequence) {
-  Update([&](state& s, effects& out) {
+  Update([&](state& s, effects&) {
     if (!s.HasBegun() || s.epoch != epoch) return;
     s.scheduler->OnDurable(sequence);
     if (s.current_phase == phase::kActive || !s.scheduler->TermRecorded()) return;
@@ -334,9 +337,6 @@
     log_.Write(event_number::kCellAcquired,
                {{"epoch", epoch}, {"term", s.scheduler->LoadedTerm() + 1}});
     log_.RecordTakeoverTime("acquired", port_.now() - s.claim_started);
-    out.push_back({epoch, std::nullopt, [this, epoch] {
-                     hooks_.on_owned({epoch, options_.self.address});
-                   }});
   });
 }
 
@@ -462,7 +462,7 @@
 
 void cell_owner::Call(const peer_call& call, peer_reply reply) {
   Update([&](state& s, effects& out) {
-    if (s.current_phase != phase::kActive) {
+    if (!s.HasBegun()) {
       out.push_back({s.epoch, std::nullopt,
                      [reply = std::move(reply)] { reply(ErrorAnswer(errc::kNotOwner)); }});
       return;
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -30,6 +30,7 @@
     std::function<std::string()> member_name;
     // The store has accepted the claim of this process.
     std::function<void(std::uint64_t epoch)> on_claimed;
+    // Calls can be sent to this process.
     std::function<void(const owner_info&)> on_owned;
     std::function<void()> on_lost;
     // A newer owner has fenced this process, which owned the cell under `epoch`.
@@ -72,7 +73,8 @@
     kClaiming,
     kFencing,
     kLoading,
-    // The scheduler has begun its term and asks the hosts for their runs.
+    // The scheduler has begun its term. It asks the hosts for their runs and takes calls, but
+    // starts no task and answers no call.
     kBeginning,
     // The journal holds the record of the term: no other owner has the same one.
     kActive,
