cell: only a poll tells that a host has restarted

Cause: an entry of the host list with a later start time closed all runs of the host. An entry of an earlier life has a later time if the clock was set back between the lives, and the runs are at work.

Change: such an entry leads to a poll at once, and nothing starts on the host before its answer.

Test: cell_test "An entry of an earlier life of a host does not give up the runs of the present one" failed before ("two runs of" each of three tasks). All cell and control tests pass, among them "Tasks of a restarted host run again immediately".

--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -37,10 +37,12 @@
   if (!host.listed) LogDecision(decision_kind::kHostFound, {}, 0, entry.id.value, entry.address);
   host.listed = true;
   host.entry = entry;
-  host.entry.started_ms = started_ms;
-  // The host list may be older than the start time reported in a poll.
-  if (entry.started_ms > started_ms) OnStartTime(host, entry.started_ms);
-  if (!host.polled) host.next_poll = std::min(host.next_poll, now);
+  if (started_ms != 0) host.entry.started_ms = started_ms;
+  // The list may be older than the last poll, also with a later time: clocks are set back. Only a
+  // poll tells whether the host has restarted.
+  host.restart_listed = entry.started_ms > host.entry.started_ms;
+  if (host.restart_listed) host.restart_listed_at = now;
+  if (!host.polled || host.restart_listed) host.next_poll = std::min(host.next_poll, now);
   if (host.polled) WriteHostRecord(host);
   pass_needed |= draining_before && !entry.draining;
   if (owner) TickHost(slot);
@@ -111,7 +113,7 @@
 // be missing for a while, so a host is used only once the journal holds its record.
 bool scheduler::state::IsUsable(const host_state& host) const {
   const bool recorded = host.journaled && durable >= host.record_sequence;
-  return host.listed && host.polled && recorded && !host.entry.draining &&
+  return host.listed && host.polled && !host.restart_listed && recorded && !host.entry.draining &&
          host.poll_failures == 0 && host.orphan_runs == 0 && now >= host.avoid_until;
 }
 
@@ -119,7 +121,7 @@
   if (!host.polled) return host.listed || host.journaled;
   return !host.runs.empty() || host.orphan_runs > 0 || !host.unjournaled_ends.empty() ||
          host.acknowledged_end < host.journaled_end || host.poll_failures > 0 ||
-         (host.listed && now - host.clock_read_at >= kMaxClockAge);
+         host.restart_listed || (host.listed && now - host.clock_read_at >= kMaxClockAge);
 }
 
 void scheduler::state::TickHost(host_slot slot) {
@@ -135,7 +137,7 @@
   // The acknowledgement to an idle host is delayed, since the poll after another start can carry
   // it.
   const bool only_tells = host.polled && host.runs.empty() && host.orphan_runs == 0 &&
-                          !journal_behind && host.poll_failures == 0;
+                          !journal_behind && host.poll_failures == 0 && !host.restart_listed;
   if (only_tells && !host.acknowledgement_withheld &&
       now < host.poll_sent + kAcknowledgementDelay) {
     return;
@@ -174,7 +176,8 @@
     poll.journaled_end = host.journaled_end;
   }
   // The answer to a poll that renews no lease is not delayed, so that the next one can renew it.
-  const bool renews = host.HasClock() && host.poll_failures == 0 && MayGrantLeases();
+  const bool renews =
+      host.HasClock() && host.poll_failures == 0 && !host.restart_listed && MayGrantLeases();
   if (renews) poll.deadline_ms = ExtendLease(host);
   const bool quiet = host.polled && renews && host.unjournaled_ends.empty();
   if (quiet && !host.runs.empty()) poll.wait = options.max_poll_hold;
@@ -207,6 +210,7 @@
   if (!host.polled) ExpectEarlierLease(host);
   host.poll_failures = 0;
   host.polled = true;
+  if (sent >= host.restart_listed_at) host.restart_listed = false;
   host.acknowledged_end = std::max(host.acknowledged_end, host.polled_acknowledged_end);
   host.next_poll = now + options.min_poll_interval;
   ReadClock(host, answer->clock_ms);
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -181,6 +181,9 @@
   std::uint32_t poll_failures = 0;
   time_point unreachable_since;
   time_point restarted_at;
+  // The list shows a later start time than the last answered poll, which was sent before this time.
+  bool restart_listed = false;
+  time_point restart_listed_at;
 
   // Reading of the host's clock, 0 if unknown, and the local time of that reading.
   std::int64_t clock_ms = 0;
--- a/packages/cell/tests/restart_test.cc
+++ b/packages/cell/tests/restart_test.cc
@@ -94,5 +94,29 @@
   for (const auto& [task, history] : cell.tasks) CHECK(history.starts == 1);
 }
 
+// Guards against a second run beside a first one that is at work: the host list still holds, or
+// shows again, the entry of an earlier life whose clock was ahead, and the owner takes it for a
+// restart.
+TEST_CASE("An entry of an earlier life of a host does not give up the runs of the present one") {
+  simulated_cell cell;
+  cell.AddQueue("q");
+  for (int i = 0; i < 6; ++i) cell.AddHost("h" + std::to_string(i), kHost);
+  cell.StartFirstOwner();
+  cell.Submit(1, "q", OneStep(3, 20'000, seconds(6)));
+  REQUIRE(cell.RunUntil([&] { return cell.Running(1) == 3; }, seconds(1)));
+  cell.Run(milliseconds(300));
+  for (const auto& [name, host] : cell.hosts) {
+    host_entry stale = host.entry;
+    stale.started_ms += 2000;
+    cell.owner->SetHost(stale, cell.now);
+    cell.Run(milliseconds(50));
+  }
+  cell.Submit(2, "q", OneStep(3, 10'000, seconds(1)));
+  REQUIRE(cell.RunUntil([&] { return cell.Phase(2) == job_phase::kCompleted; }, seconds(4)));
+  REQUIRE(cell.RunUntil([&] { return cell.Phase(1) == job_phase::kCompleted; }, seconds(8)));
+  CHECK(cell.violations == std::vector<std::string>());
+  for (const auto& [task, history] : cell.tasks) CHECK(history.starts == 1);
+}
+
 }  // namespace
 }  // namespace sycamorehinge::cell::testing
