--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -9,10 +9,6 @@
 
 namespace {
 
-std::int64_t ToMs(duration time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 // No host restarts in less time.
 constexpr duration kMinRestartTime = std::chrono::milliseconds(500);
 // Delay before an idle host gets an extra poll just to acknowledge its ends.
--- a/packages/cell/src/leases.cc
+++ b/packages/cell/src/leases.cc
@@ -17,10 +17,6 @@
 // Interval between requests to earlier owners to give up the cell.
 constexpr duration kFenceOwnerInterval = std::chrono::milliseconds(300);
 
-std::int64_t ToMs(duration time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 }  // namespace
 
 // Returns the longest time for which a lease lasts on a host whose clock runs slow.
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -31,6 +32,10 @@
 // does not know the last number that the previous owner used.
 inline constexpr std::uint32_t kRunsPerTerm = 64;
 
+inline std::int64_t ToMs(duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 // Allowance for the delay between the clock reading on a host and the arrival of its answer.
 inline constexpr duration kClockReadingDelay = std::chrono::milliseconds(100);
 
