--- a/packages/control/include/sycamorehinge/control/calls.h
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -31,6 +31,25 @@
 struct pending_jobs_call {
   std::string queue;
 };
+// Calls that the owner of the cell handles.
+using cell_call = std::variant<submit_call, cancel_call, job_state_call, pending_jobs_call>;
+
+// One attempt of a process to pass a call to the owner. A call is attempted again if it gets no
+// answer, and each attempt may arrive late.
+struct call_attempt {
+  // Identifies the sending process among all processes and their restarts.
+  std::string sender;
+  // Number of the call among those of the sender, and of the attempt among those of the call, from
+  // 1.
+  std::uint64_t call = 0;
+  std::uint32_t number = 0;
+  // Wall clock of the sender when it sent the attempt; for the log only, since clocks differ.
+  std::int64_t sent_ms = 0;
+};
+struct routed_call {
+  call_attempt attempt;
+  cell_call call;
+};
 // Asks the policy service on behalf of the sender. The service handles one call at a time for each
 // machine, so the owner spreads its requests over the machines.
 struct advice_call {
@@ -54,8 +73,8 @@
   // Epoch of the sender.
   std::uint64_t epoch = 0;
 };
-using peer_call = std::variant<submit_call, cancel_call, job_state_call, pending_jobs_call,
-                               advice_call, offer_call, announce_call, fence_call>;
+// Calls between processes.
+using peer_call = std::variant<routed_call, advice_call, offer_call, announce_call, fence_call>;
 
 // Owner of the cell. A higher epoch is newer.
 struct owner_info {
--- a/packages/control/include/sycamorehinge/control/control_node.h
+++ b/packages/control/include/sycamorehinge/control/control_node.h
@@ -50,8 +50,13 @@
   void Write(event_number number, std::initializer_list<event_field> fields = {}) const;
   // Records that a takeover reached `stage` `time` after the claim.
   void RecordTakeoverTime(std::string_view stage, duration time) const;
-  void WriteUnanswered(const peer_call& call, errc code, duration held,
+  // A call ended without an answer of the owner, after `held`.
+  void WriteUnanswered(const cell_call& call, errc code, duration held,
                        const owner_info& known) const;
+  // `owner` refused a call after `held`, and an earlier attempt of it got no answer.
+  void WriteRefused(const cell_call& call, errc code, duration held, const owner_info& owner) const;
+  // An attempt reached the owner `age` after it was sent.
+  void WriteLate(const routed_call& call, duration age) const;
 
  private:
   void RecordMetrics(const cell::log_decision& decision) const;
@@ -80,7 +85,7 @@
   // Calls `reply` exactly once, at the latest at `deadline`. Errors: kNotReady, kLogUnavailable and
   // kOverloaded (the call had no effect), kOutcomeUnknown (it may have had an effect), kUnknownJob,
   // kMalformed.
-  void Call(peer_call call, time_point deadline, call_reply reply);
+  void Call(cell_call call, time_point deadline, call_reply reply);
   // Handles a call from another process. Answers kNotOwner with the newest known owner if this
   // process does not own the cell.
   void OnPeerCall(peer_call call, call_reply reply);
--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-bool IsRead(const peer_call& call) {
+bool IsRead(const cell_call& call) {
   return std::holds_alternative<job_state_call>(call) ||
          std::holds_alternative<pending_jobs_call>(call);
 }
@@ -17,26 +17,33 @@
   return code == errc::kNotOwner || code == errc::kNotReady || code == errc::kOutcomeUnknown;
 }
 
+// The steady clock tells processes apart that start at the same time of a wall clock that was set
+// back.
+std::string MakeSenderName(const ports& port, std::string_view address) {
+  return std::string(address) + "/" + std::to_string(port.wall_ms()) + "/" +
+         std::to_string(port.now().time_since_epoch().count());
+}
+
 }  // namespace
 
-call_router::call_router(const ports& port, call_router_options options, local_handler local,
-                         unanswered_handler unanswered)
+call_router::call_router(const ports& port, call_router_options options,
+                         call_router_handlers handlers)
     : port_(port),
       options_(std::move(options)),
-      local_(std::move(local)),
-      unanswered_(std::move(unanswered)) {}
+      handlers_(std::move(handlers)),
+      sender_(MakeSenderName(port, options_.address)) {}
 
 void call_router::Update(const std::function<void(routing_state&, effects&)>& change) {
   state_.Apply(change, [](const effect& run) { run(); });
 }
 
-void call_router::Call(peer_call call, time_point deadline, peer_reply reply) {
+void call_router::Call(cell_call call, time_point deadline, peer_reply reply) {
   const time_point now = port_.now();
   deadline = std::min(deadline, now + options_.max_call_time);
   Update([&](routing_state& state, effects& out) {
     const std::uint64_t id = state.next_call++;
     open_call& open = state.calls[id];
-    open.call = std::make_shared<const peer_call>(std::move(call));
+    open.call = std::make_shared<const cell_call>(std::move(call));
     open.arrived = now;
     open.deadline = deadline;
     open.reply = std::move(reply);
@@ -48,25 +55,26 @@
 
 void call_router::SendAttempt(routing_state& state, std::uint64_t id, effects& out) {
   open_call& open = state.calls.at(id);
-  const bool local = state.owner.address == options_.address;
-  std::string address = state.owner.address;
-  if (address.empty() && !state.peers.empty()) {
+  owner_info target = state.owner;
+  if (target.address.empty() && !state.peers.empty()) {
     // A peer that does not own the cell names the owner it knows in its answer.
-    address = state.peers[state.next_peer++ % state.peers.size()];
+    target.address = state.peers[state.next_peer++ % state.peers.size()];
   }
-  if (address.empty()) return RetryLater(id, out);
+  if (target.address.empty()) return RetryLater(id, out);
   open.in_flight = true;
-  open.attempted_address = address;
+  open.target = target;
+  const call_attempt attempt{sender_, id, ++open.attempts, port_.wall_ms()};
   const auto done = [this, id](const result<peer_answer>& outcome) { OnAttemptDone(id, outcome); };
-  if (local) {
-    out.push_back([this, call = open.call, done] {
-      local_(*call, [done](peer_answer answer) { done(std::move(answer)); });
+  if (target.address == options_.address) {
+    out.push_back([this, attempt, call = open.call, done] {
+      handlers_.call_local({attempt, *call},
+                           [done](peer_answer answer) { done(std::move(answer)); });
     });
     return;
   }
-  const duration timeout = std::min(options_.attempt_timeout, open.deadline - port_.now());
-  out.push_back([this, address, call = open.call, timeout, done] {
-    port_.call_peer(address, *call, timeout, done);
+  const duration timeout = std::min(kAttemptTimeout, open.deadline - port_.now());
+  out.push_back([this, address = target.address, attempt, call = open.call, timeout, done] {
+    port_.call_peer(address, routed_call{attempt, *call}, timeout, done);
   });
 }
 
@@ -81,6 +89,7 @@
     open.in_flight = false;
     if (outcome && !ShouldAskAnotherProcess(outcome->code)) {
       state.failing_since = time_point::max();
+      ReportRefusal(open, outcome->code, out);
       return Finish(state, id, *outcome, out);
     }
     const bool lost =
@@ -90,7 +99,7 @@
     if (learned) return SendAttempt(state, id, out);
     // The supposed owner may be down or may have lost the cell, and without a connection to the
     // store it knows no newer owner: ask the peers next.
-    if (open.attempted_address == state.owner.address) state.owner.address.clear();
+    if (open.target.address == state.owner.address) state.owner.address.clear();
     if (!open.may_have_effect && !IsRead(*open.call) &&
         now - open.arrived > options_.unsent_hold_limit) {
       return Refuse(state, id, errc::kNotReady, out);
@@ -135,10 +144,17 @@
 void call_router::Refuse(routing_state& state, std::uint64_t id, errc code, effects& out) {
   const open_call& open = state.calls.at(id);
   out.push_back([this, call = open.call, code, held = port_.now() - open.arrived,
-                 owner = state.owner] { unanswered_(*call, code, held, owner); });
+                 owner = state.owner] { handlers_.on_unanswered(*call, code, held, owner); });
   Finish(state, id, ErrorAnswer(code, options_.retry_after), out);
 }
 
+void call_router::ReportRefusal(const open_call& open, errc code, effects& out) {
+  const bool refused = code != errc::kOk && OutcomeOf(code) == work_outcome::kNotRun;
+  if (!refused || !open.may_have_effect || IsRead(*open.call)) return;
+  out.push_back([this, call = open.call, code, held = port_.now() - open.arrived,
+                 target = open.target] { handlers_.on_refused(*call, code, held, target); });
+}
+
 void call_router::Finish(routing_state& state, std::uint64_t id, peer_answer answer, effects& out) {
   const auto found = state.calls.find(id);
   out.push_back(
--- a/packages/control/src/call_router.h
+++ b/packages/control/src/call_router.h
@@ -17,11 +17,12 @@
 
 using peer_reply = std::function<void(peer_answer)>;
 
+// Timeout of one attempt, so that a dead connection does not use up the caller's deadline.
+inline constexpr duration kAttemptTimeout = std::chrono::milliseconds(1200);
+
 struct call_router_options {
   // Address of this process for calls between processes.
   std::string address;
-  // Timeout of one attempt, so that a dead connection does not use up the caller's deadline.
-  duration attempt_timeout = std::chrono::milliseconds(1200);
   // Delay before the next attempt when no owner is known or the last attempt failed.
   duration retry_pause = std::chrono::milliseconds(60);
   // A call is given up after this long whatever its deadline, so that a submission whose job has
@@ -36,20 +37,22 @@
   duration failure_limit = std::chrono::milliseconds(1500);
 };
 
-class call_router {
- public:
+struct call_router_handlers {
   // Passes a call to the cell owner of this process.
-  using local_handler = std::function<void(const peer_call&, peer_reply)>;
-  // Reports a call that ended without an answer: its error, which tells whether an owner may have
-  // acted on it, the time it was held, and the last known owner.
-  using unanswered_handler =
-      std::function<void(const peer_call&, errc, duration held, const owner_info&)>;
+  std::function<void(const routed_call&, peer_reply)> call_local;
+  // A call ended without an answer: its error, which tells whether an owner may have acted on it,
+  // the time it was held, and the last known owner.
+  std::function<void(const cell_call&, errc, duration held, const owner_info&)> on_unanswered;
+  // An owner refused a call, and an earlier attempt of the call got no answer.
+  std::function<void(const cell_call&, errc, duration held, const owner_info&)> on_refused;
+};
 
-  call_router(const ports& port, call_router_options options, local_handler local,
-              unanswered_handler unanswered);
+class call_router {
+ public:
+  call_router(const ports& port, call_router_options options, call_router_handlers handlers);
 
   // Calls `reply` exactly once, at the latest at `deadline`.
-  void Call(peer_call call, time_point deadline, peer_reply reply);
+  void Call(cell_call call, time_point deadline, peer_reply reply);
   // Sets the owner; an epoch older than the known one is ignored.
   void LearnOwner(const owner_info& owner);
   // Clears the known owner if it has this address.
@@ -65,15 +68,16 @@
 
  private:
   struct open_call {
-    std::shared_ptr<const peer_call> call;
+    std::shared_ptr<const cell_call> call;
     time_point arrived;
     time_point deadline;
     peer_reply reply;
+    std::uint32_t attempts = 0;
     // An earlier attempt may have reached an owner that acted on it.
     bool may_have_effect = false;
     bool in_flight = false;
     // Target of the last attempt.
-    std::string attempted_address;
+    owner_info target;
   };
   struct routing_state {
     owner_info owner;
@@ -97,13 +101,15 @@
   void Finish(routing_state& state, std::uint64_t id, peer_answer answer, effects& out);
   void Refuse(routing_state& state, std::uint64_t id, errc code, effects& out);
   void GiveUp(routing_state& state, std::uint64_t id, effects& out);
+  void ReportRefusal(const open_call& open, errc code, effects& out);
   // True if `owner` is newer than the known one; retries waiting calls then.
   bool UpdateOwner(routing_state& state, const owner_info& owner, effects& out);
 
   const ports& port_;
   const call_router_options options_;
-  const local_handler local_;
-  const unanswered_handler unanswered_;
+  const call_router_handlers handlers_;
+  // Identifies this process in its attempts.
+  const std::string sender_;
   shard<routing_state, effect> state_;
 };
 
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -32,7 +32,7 @@
 }
 
 // Returns whether the answer to the call has to wait for a record that is not written yet.
-bool NeedsNewRecord(const cell::scheduler& scheduler, const peer_call& call) {
+bool NeedsNewRecord(const cell::scheduler& scheduler, const cell_call& call) {
   return std::visit(overloaded{[&](const submit_call& row) { return !scheduler.Knows(row.job); },
                                [&](const cancel_call& row) {
                                  return !scheduler.Knows(row.job) &&
@@ -460,8 +460,14 @@
   });
 }
 
-void cell_owner::Call(const peer_call& call, peer_reply reply) {
+void cell_owner::LogIfLate(const routed_call& call) const {
+  const duration age = std::chrono::milliseconds(port_.wall_ms() - call.attempt.sent_ms);
+  if (age > kAttemptTimeout) log_.WriteLate(call, age);
+}
+
+void cell_owner::Call(const routed_call& call, peer_reply reply) {
   Update([&](state& s, effects& out) {
+    LogIfLate(call);
     if (!s.HasBegun()) {
       out.push_back({s.epoch, std::nullopt,
                      [reply = std::move(reply)] { reply(ErrorAnswer(errc::kNotOwner)); }});
@@ -469,7 +475,7 @@
     }
     const time_point now = port_.now();
     const duration outage = s.journal->OutageAge(now);
-    if (outage > duration::zero() && NeedsNewRecord(*s.scheduler, call)) {
+    if (outage > duration::zero() && NeedsNewRecord(*s.scheduler, call.call)) {
       out.push_back({s.epoch, std::nullopt, [reply = std::move(reply), outage] {
                        reply(ErrorAnswer(errc::kLogUnavailable, RetryAfterOutage(outage)));
                      }});
@@ -487,10 +493,8 @@
               s.scheduler->Cancel(number, cancel.job, port_.wall_ms());
             },
             [&](const job_state_call& asked) { s.scheduler->State(number, asked.job); },
-            [&](const pending_jobs_call& pending) { s.scheduler->Pending(number, pending.queue); },
-            [](const advice_call&) {}, [](const offer_call&) {}, [](const announce_call&) {},
-            [](const fence_call&) {}},
-        call);
+            [&](const pending_jobs_call& pending) { s.scheduler->Pending(number, pending.queue); }},
+        call.call);
   });
 }
 
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -54,7 +54,7 @@
   void Retire();
   void SetConfig(std::shared_ptr<const cell::fleet_config> config);
   // Answers kNotOwner unless this process owns the cell.
-  void Call(const peer_call& call, peer_reply reply);
+  void Call(const routed_call& call, peer_reply reply);
   cell::scheduler_summary Summary() const;
   bool Owns() const;
 
@@ -161,6 +161,7 @@
   void ScheduleTick(std::uint64_t epoch);
   void CheckTickDelay(state& s);
   void LogStatus(state& s);
+  void LogIfLate(const routed_call& call) const;
   static void UpdatePolicyClients(state& s);
   void LogTakeoverStage(const state& s, event_number number, std::string_view stream = {}) const;
 
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -85,6 +85,14 @@
   SerializeFields(archive, value.queue);
 }
 template <class Archive>
+void serialize(Archive& archive, call_attempt& value) {
+  SerializeFields(archive, value.sender, value.call, value.number, value.sent_ms);
+}
+template <class Archive>
+void serialize(Archive& archive, routed_call& value) {
+  SerializeFields(archive, value.attempt, value.call);
+}
+template <class Archive>
 void serialize(Archive& archive, advice_call& value) {
   SerializeFields(archive, value.step, value.hosts);
 }
@@ -116,7 +124,9 @@
 
 namespace {
 
-constexpr std::uint8_t kVersion = 1;
+// Versions of records in the journal, and of calls and answers between processes.
+constexpr std::uint8_t kRecordVersion = 1;
+constexpr std::uint8_t kCallVersion = 2;
 constexpr std::size_t kMaxBytes = std::size_t{4} << 20;
 
 // A key is a kind letter followed by the job number in 16 hexadecimal digits or the host id.
@@ -130,18 +140,19 @@
 
 template <class Value>
 std::string Encode(const Value& value) {
-  return EncodeVersioned(kVersion, value);
+  return EncodeVersioned(kRecordVersion, value);
 }
 
 template <class Value>
 errc DecodeInto(std::string_view bytes, Value& value) {
-  return DecodeVersioned(kVersion, kMaxBytes, bytes, value);
+  return DecodeVersioned(kRecordVersion, kMaxBytes, bytes, value);
 }
 
 template <class Value>
-result<Value> Decode(std::string_view bytes) {
+result<Value> DecodeMessage(std::string_view bytes) {
   Value value;
-  if (const errc code = DecodeInto(bytes, value); code != errc::kOk) return code;
+  const errc code = DecodeVersioned(kCallVersion, kMaxBytes, bytes, value);
+  if (code != errc::kOk) return code;
   return value;
 }
 
@@ -170,10 +181,14 @@
 
 }  // namespace
 
-std::string EncodeCall(const peer_call& call) { return Encode(call); }
-result<peer_call> DecodeCall(std::string_view bytes) { return Decode<peer_call>(bytes); }
-std::string EncodeAnswer(const peer_answer& answer) { return Encode(answer); }
-result<peer_answer> DecodeAnswer(std::string_view bytes) { return Decode<peer_answer>(bytes); }
+std::string EncodeCall(const peer_call& call) { return EncodeVersioned(kCallVersion, call); }
+result<peer_call> DecodeCall(std::string_view bytes) { return DecodeMessage<peer_call>(bytes); }
+std::string EncodeAnswer(const peer_answer& answer) {
+  return EncodeVersioned(kCallVersion, answer);
+}
+result<peer_answer> DecodeAnswer(std::string_view bytes) {
+  return DecodeMessage<peer_answer>(bytes);
+}
 
 void EncodeJournalRecord(const cell::journal_record& record, std::vector<stream_record>& out) {
   std::visit(overloaded{[&](const cell::term_record& row) {
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -35,10 +35,15 @@
                [this] { group->OfferCell(); }}),
         router(
             port, RouterOptions(),
-            [this](const peer_call& call, peer_reply reply) { owner.Call(call, std::move(reply)); },
-            [this](const peer_call& call, errc code, duration held, const owner_info& known) {
-              log.WriteUnanswered(call, code, held, known);
-            }),
+            {[this](const routed_call& call, peer_reply reply) {
+               owner.Call(call, std::move(reply));
+             },
+             [this](const cell_call& call, errc code, duration held, const owner_info& known) {
+               log.WriteUnanswered(call, code, held, known);
+             },
+             [this](const cell_call& call, errc code, duration held, const owner_info& refusing) {
+               log.WriteRefused(call, code, held, refusing);
+             }}),
         group(std::make_shared<membership>(
             port, options.membership, options.self,
             membership_handlers{
@@ -105,6 +110,32 @@
                      if (answer) router.LearnOwner(answer->owner);
                    });
   }
+
+  void OnRoutedCall(const routed_call& call, call_reply reply) {
+    owner.Call(call, [this, reply = std::move(reply)](peer_answer answer) {
+      answer.owner = router.Owner();
+      reply(std::move(answer));
+    });
+  }
+  void OnAdviceCall(const advice_call& call, call_reply reply) {
+    port.advise(call.step, call.hosts, options.advice_timeout_margin * 2,
+                [reply = std::move(reply)](const result<std::vector<approved_host>>& outcome) {
+                  peer_answer answer = ErrorAnswer(outcome.code());
+                  if (outcome) answer.approved = *outcome;
+                  reply(answer);
+                });
+  }
+  peer_answer OnAnnounceCall(const announce_call& call) {
+    const result<member_info> member = ParseMemberName(call.member);
+    peer_answer answer = ErrorAnswer(errc::kMalformed);
+    if (member) {
+      owner.OnAnnounced(*member);
+      answer.code = owner.Owns() ? errc::kOk : errc::kNotOwner;
+    }
+    answer.owner = router.Owner();
+    return answer;
+  }
+
   std::shared_ptr<stream_follower> Follow(stream_name stream, std::string_view label,
                                           const std::function<void(const stream_record&)>& handle) {
     follower_handlers handlers;
@@ -169,42 +200,23 @@
   p.AnnouncePeriodically();
 }
 
-void control_node::Call(peer_call call, time_point deadline, call_reply reply) {
+void control_node::Call(cell_call call, time_point deadline, call_reply reply) {
   parts_->router.Call(std::move(call), deadline, std::move(reply));
 }
 
 void control_node::OnPeerCall(peer_call call, call_reply reply) {
   parts& p = *parts_;
-  if (const auto* advice = std::get_if<advice_call>(&call)) {
-    p.port.advise(advice->step, advice->hosts, p.options.advice_timeout_margin * 2,
-                  [reply = std::move(reply)](const result<std::vector<approved_host>>& outcome) {
-                    peer_answer answer = ErrorAnswer(outcome.code());
-                    if (outcome) answer.approved = *outcome;
-                    reply(answer);
-                  });
-    return;
-  }
-  if (const auto* offer = std::get_if<offer_call>(&call)) {
-    p.group->OnOffer(offer->member);
-    return reply({});
-  }
-  if (const auto* announce = std::get_if<announce_call>(&call)) {
-    const result<member_info> member = ParseMemberName(announce->member);
-    peer_answer answer = ErrorAnswer(errc::kMalformed);
-    if (member) {
-      p.owner.OnAnnounced(*member);
-      answer.code = p.owner.Owns() ? errc::kOk : errc::kNotOwner;
-    }
-    answer.owner = p.router.Owner();
-    return reply(std::move(answer));
-  }
-  if (const auto* fence = std::get_if<fence_call>(&call)) {
-    return p.owner.OnFenceCall(fence->epoch, std::move(reply));
-  }
-  p.owner.Call(call, [&p, reply = std::move(reply)](peer_answer answer) {
-    answer.owner = p.router.Owner();
-    reply(std::move(answer));
-  });
+  std::visit(
+      overloaded{
+          [&](const routed_call& routed) { p.OnRoutedCall(routed, std::move(reply)); },
+          [&](const advice_call& advice) { p.OnAdviceCall(advice, std::move(reply)); },
+          [&](const offer_call& offer) {
+            p.group->OnOffer(offer.member);
+            reply({});
+          },
+          [&](const announce_call& row) { reply(p.OnAnnounceCall(row)); },
+          [&](const fence_call& fence) { p.owner.OnFenceCall(fence.epoch, std::move(reply)); }},
+      call);
 }
 
 std::shared_ptr<const cell::fleet_config> control_node::Config() const {
--- a/packages/control/src/decision_log.cc
+++ b/packages/control/src/decision_log.cc
@@ -70,6 +70,16 @@
   return text + '/' + std::to_string(decision.run);
 }
 
+std::string SubjectOf(const cell_call& call) {
+  const auto job =
+      std::visit(overloaded{[](const pending_jobs_call&) { return cell::job_number{0}; },
+                            [](const auto& row) { return row.job; }},
+                 call);
+  return job == 0 ? std::string() : cell::FormatJobNumber(job);
+}
+
+std::int64_t Milliseconds(duration time) { return time.count() / 1000; }
+
 }  // namespace
 
 // Wait times are recorded by queue, run times by outcome.
@@ -106,27 +116,37 @@
   Write(EventFor(decision.kind), {{"subject", std::string_view(subject)},
                                   {"host", std::string_view(decision.host)},
                                   {"cause", std::string_view(decision.cause)},
-                                  {"after_ms", std::int64_t{decision.elapsed.count() / 1000}}});
+                                  {"after_ms", Milliseconds(decision.elapsed)}});
 }
 
-void decision_log::WriteUnanswered(const peer_call& call, errc code, duration held,
+void decision_log::WriteUnanswered(const cell_call& call, errc code, duration held,
                                    const owner_info& known) const {
-  const cell::job_number job =
-      std::visit(overloaded{[](const submit_call& row) { return row.job; },
-                            [](const cancel_call& row) { return row.job; },
-                            [](const job_state_call& row) { return row.job; },
-                            [](const auto&) { return cell::job_number{0}; }},
-                 call);
-  cell::log_decision subject;
-  subject.task.job = job;
-  const std::string text = SubjectOf(subject);
-  Write(event_number::kCallUnanswered, {{"subject", std::string_view(text)},
+  const std::string subject = SubjectOf(call);
+  Write(event_number::kCallUnanswered, {{"subject", std::string_view(subject)},
                                         {"error", ErrorName(code)},
-                                        {"held_ms", std::int64_t{held.count() / 1000}},
+                                        {"held_ms", Milliseconds(held)},
                                         {"owner", std::string_view(known.address)},
                                         {"epoch", known.epoch}});
 }
 
+void decision_log::WriteRefused(const cell_call& call, errc code, duration held,
+                                const owner_info& owner) const {
+  const std::string subject = SubjectOf(call);
+  Write(event_number::kCallRefused, {{"subject", std::string_view(subject)},
+                                     {"error", ErrorName(code)},
+                                     {"held_ms", Milliseconds(held)},
+                                     {"owner", std::string_view(owner.address)},
+                                     {"epoch", owner.epoch}});
+}
+
+void decision_log::WriteLate(const routed_call& call, duration age) const {
+  const std::string subject = SubjectOf(call.call);
+  Write(event_number::kCallLate, {{"subject", std::string_view(subject)},
+                                  {"sender", std::string_view(call.attempt.sender)},
+                                  {"attempt", std::uint64_t{call.attempt.number}},
+                                  {"after_ms", Milliseconds(age)}});
+}
+
 void decision_log::Write(event_number number, std::initializer_list<event_field> fields) const {
   if (observer_.events) observer_.events->Write(number, fields);
 }
--- a/packages/control/tests/cluster.h
+++ b/packages/control/tests/cluster.h
@@ -55,7 +55,7 @@
     }
     return owner;
   }
-  errc Call(const std::string& name, peer_call call, duration wait = seconds(3)) {
+  errc Call(const std::string& name, cell_call call, duration wait = seconds(3)) {
     errc code = errc::kInternal;
     nodes[name]->Call(std::move(call), store.now + wait,
                       [&code](const peer_answer& answer) { code = answer.code; });
--- a/packages/control/tests/codec_test.cc
+++ b/packages/control/tests/codec_test.cc
@@ -29,9 +29,17 @@
 
 // Guards against fields that are missing from the encoding.
 TEST_CASE("Calls and answers are decoded as they were encoded") {
-  const auto call = DecodeCall(EncodeCall(submit_call{0xfedcba9876543210, "q", Sample()}));
+  routed_call sample;
+  sample.attempt = {"10.0.0.1:1/5/6", 3, 2, 77};
+  sample.call = submit_call{0xfedcba9876543210, "q", Sample()};
+  const auto call = DecodeCall(EncodeCall(sample));
   REQUIRE(call);
-  const auto& submit = std::get<submit_call>(*call);
+  const auto& routed = std::get<routed_call>(*call);
+  CHECK(routed.attempt.sender == "10.0.0.1:1/5/6");
+  CHECK(routed.attempt.call == 3);
+  CHECK(routed.attempt.number == 2);
+  CHECK(routed.attempt.sent_ms == 77);
+  const auto& submit = std::get<submit_call>(routed.call);
   CHECK(submit.job == 0xfedcba9876543210);
   CHECK(submit.spec.payload == Sample().payload);
   REQUIRE(submit.spec.steps.size() == 2);
@@ -115,7 +123,9 @@
 
 // Guards against crashes and unbounded allocation on malformed input.
 TEST_CASE("Mutated bytes give an error or another valid value, never a crash") {
-  const std::string good = EncodeCall(submit_call{1, "q", Sample()});
+  routed_call sample;
+  sample.call = submit_call{1, "q", Sample()};
+  const std::string good = EncodeCall(sample);
   std::uint64_t random = 42;
   const auto next = [&random] {
     random = random * 6364136223846793005ULL + 1442695040888963407ULL;
--- a/packages/telemetry/include/sycamorehinge/telemetry/events.h
+++ b/packages/telemetry/include/sycamorehinge/telemetry/events.h
@@ -133,6 +133,8 @@
   kCellHostAvoided,
   // Calls.
   kCallUnanswered = 8301,
+  kCallRefused,
+  kCallLate,
 };
 
 enum class severity { kInfo, kWarning, kError };
--- a/packages/telemetry/src/event_catalogue.cc
+++ b/packages/telemetry/src/event_catalogue.cc
@@ -272,6 +272,13 @@
                       "check the host if it repeats"},
     event_description{kCallUnanswered, kWarning, "call_unanswered",
                       "no owner of the cell answered a call in time", "look for cell_acquired"},
+    event_description{kCallRefused, kInfo, "call_refused",
+                      "the owner refused a call of which an earlier attempt got no answer", "none"},
+    event_description{
+        kCallLate, kWarning, "call_late",
+        "an attempt reached the owner after its sender had given it up, by the clocks "
+        "of both machines",
+        "check the network between the processes"},
 };
 
 std::string_view OutcomeName(work_outcome outcome) {
