control: a failing test of a job that runs although it was refused (REFUSED)

The test holds the first attempt of a submission back over an outage of the store. The owner refuses the second attempt, the caller is told that the job never runs, and the first attempt is accepted after the outage.

The stand-in of the links between processes holds back, resets or silences calls or their answers, and ends a call at its timeout, as the real client does; before, such a call waited for its answer without a limit.

--- a/packages/control/tests/fake_store.cc
+++ b/packages/control/tests/fake_store.cc
@@ -1,6 +1,7 @@
 #include "fake_store.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace sycamorehinge::control::testing {
@@ -154,6 +155,7 @@
   AddGroup(port, process);
   AddParsers(port);
   AddHosts(port, process);
+  AddPeers(port, process);
   return port;
 }
 
@@ -273,8 +275,31 @@
   };
   port.throttle_task = [](const cell::throttle_task&, auto) {};
   port.advise = [](const cell::task_ref&, const std::vector<host_id>&, duration, auto) {};
-  port.call_peer = [this, process](std::string_view address, const peer_call& call, duration,
-                                   auto done) {
+}
+
+fake_store::delivery fake_store::NextDelivery(const std::string& address) {
+  delivery next;
+  const auto found = link_faults.find(address);
+  if (found == link_faults.end()) return next;
+  std::visit(overloaded{[&](held_link& link) {
+                          if (link.connections == 0 || now >= link.until) return;
+                          --link.connections;
+                          next.delay = link.until - now;
+                        },
+                        [&](reset_link& link) {
+                          if (link.connections == 0) return;
+                          --link.connections;
+                          next.reset = true;
+                        },
+                        [&](const silent_link&) { next.arrives = false; },
+                        [&](const one_way_link&) { next.answered = false; }},
+             found->second);
+  return next;
+}
+
+void fake_store::AddPeers(ports& port, const std::string& process) {
+  port.call_peer = [this, process](std::string_view address, const peer_call& call,
+                                   duration timeout, auto done) {
     if (crashed.contains(process)) return;
     if (IsCutOffFromPeers(process, address)) {
       return RunAfter(kTimeout, [done] { done(errc::kTimeout); });
@@ -286,9 +311,20 @@
       });
       return;
     }
-    RunAfter(answer_delay, [this, call, done, target = found->second] {
-      target(call, [this, done](const peer_answer& answer) {
-        RunAfter(answer_delay, [answer, done] { done(answer); });
+    const auto finish =
+        [done, finished = std::make_shared<bool>(false)](const result<peer_answer>& outcome) {
+          if (!std::exchange(*finished, true)) done(outcome);
+        };
+    const delivery next = NextDelivery(std::string(address));
+    RunAfter(timeout, [finish] { finish(errc::kTimeout); });
+    if (next.reset) {
+      RunAfter(answer_delay, [finish] { finish({errc::kConnectionFailed, "connection reset"}); });
+    }
+    if (!next.arrives) return;
+    RunAfter(answer_delay + next.delay, [this, call, finish, next, target = found->second] {
+      target(call, [this, finish, next](const peer_answer& answer) {
+        if (!next.answered) return;
+        RunAfter(answer_delay, [answer, finish] { finish(answer); });
       });
     });
   };
--- a/packages/control/tests/fake_store.h
+++ b/packages/control/tests/fake_store.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
+#include <variant>
 #include <vector>
 
 #include "fake_hosts.h"
@@ -17,6 +19,24 @@
 
 using std::chrono::milliseconds;
 
+// Faults of the connections that carry calls to a process. The sender of a call without an answer
+// gets a timeout, and its next call takes another connection.
+//
+// What is sent on `connections` connections, which one call each takes, arrives at `until`.
+struct held_link {
+  time_point until;
+  std::uint32_t connections = 0;
+};
+// `connections` connections are reset after the call on each has arrived.
+struct reset_link {
+  std::uint32_t connections = 0;
+};
+// Nothing arrives.
+struct silent_link {};
+// Calls arrive, but no answers.
+struct one_way_link {};
+using link_fault = std::variant<held_link, reset_link, silent_link, one_way_link>;
+
 class fake_store {
  public:
   // Returns the ports of one process. Advice never completes.
@@ -66,6 +86,8 @@
   std::map<std::string, peer> peers;
   // Processes that no call of another process reaches, and whose calls reach none.
   std::set<std::string> cut_off_from_peers;
+  // By address of the receiver.
+  std::map<std::string, link_fault> link_faults;
   fake_hosts hosts;
   std::uint32_t appends = 0;
   std::uint32_t reads = 0;
@@ -85,6 +107,15 @@
   void AddGroup(ports& port, const std::string& process);
   static void AddParsers(ports& port);
   void AddHosts(ports& port, const std::string& process);
+  void AddPeers(ports& port, const std::string& process);
+  // What becomes of one call to `address`.
+  struct delivery {
+    bool arrives = true;
+    bool answered = true;
+    bool reset = false;
+    duration delay{};
+  };
+  delivery NextDelivery(const std::string& address);
   void RunAfter(duration delay, std::function<void()> task);
   result<std::uint64_t> Append(stream_name name, const std::optional<append_guard>& guard,
                                const std::vector<stream_record>& records);
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -410,6 +410,24 @@
   CHECK(group.Call("p1", Job(3)) == errc::kOk);
 }
 
+// Guards against a job that runs although its submission was refused: the owner refused an attempt
+// in an outage of the store, and an earlier attempt without an answer arrived after the outage.
+TEST_CASE("A job whose submission was refused does not run when an earlier attempt arrives") {
+  cluster group(2);
+  group.store.Run(seconds(3));
+  REQUIRE(group.OwnerName() == "p0");
+  group.store.available = false;
+  group.nodes["p0"]->Call(Job(1), group.store.now + seconds(10), [](const peer_answer&) {});
+  group.store.Run(milliseconds(1100));
+  group.store.link_faults["p0:1"] = held_link{group.store.now + seconds(4), 1};
+  CHECK(group.Call("p1", Job(2)) == errc::kLogUnavailable);
+  group.store.available = true;
+  group.store.Run(seconds(5));
+  CHECK(group.Call("p1", job_state_call{1}) == errc::kOk);
+  CHECK(group.Call("p1", job_state_call{2}) == errc::kUnknownJob);
+  CHECK(group.store.hosts.LastStart(2) == time_point());
+}
+
 // Guards against an older configuration replacing a newer one, and against applying a malformed
 // one.
 TEST_CASE("Versions of the configuration only rise") {
