control: an attempt is for one owner, and only the newest owner's refusal is final

Cause: the router took the refusal of any process that owned the cell or believed so. An owner that was cut off refuses in its outage without knowing what a newer one has accepted, and an attempt that was on its way to an earlier owner was accepted when the same process owned the cell again. Of the same class: an older owner's 410 for a job that a newer one has accepted.

An attempt names the epoch of the owner that it is meant for, and no other owner acts on it. A process that is asked without an epoch only says who owns the cell. An error ends a call only if it comes from the newest owner that the router knows. A success of an older owner still counts: it is durable. Calls still reach an older owner while a newer claim comes to nothing; that takes one more call.

--- a/packages/control/include/sycamorehinge/control/calls.h
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -37,6 +37,9 @@
 // One attempt of a process to pass a call to the owner. A call is attempted again if it gets no
 // answer, and each attempt may arrive late.
 struct call_attempt {
+  // Epoch of the owner that the attempt is meant for, so that no other owner acts on it. 0: the
+  // receiver only tells whether it owns the cell.
+  std::uint64_t owner_epoch = 0;
   // Identifies the sending process among all processes and their restarts.
   std::string sender;
   // Number of the call among those of the sender, and of the attempt among those of the call, from
@@ -96,6 +99,9 @@
   std::vector<approved_host> approved;
   // Newest owner that the answering process knows.
   owner_info owner;
+  // With kNotOwner: epoch under which the answering process owns the cell, other than the one that
+  // the call named; 0 if it does not own it.
+  std::uint64_t acting_epoch = 0;
 };
 
 // Returns an answer with only an error code and a retry hint.
--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -54,16 +54,18 @@
 }
 
 void call_router::SendAttempt(routing_state& state, std::uint64_t id, effects& out) {
+  if (!state.owner.address.empty()) return SendAttemptTo(state, id, state.owner, out);
+  if (state.peers.empty()) return RetryLater(id, out);
+  // A peer names the owner that it knows, or itself, in its answer.
+  SendAttemptTo(state, id, {0, state.peers[state.next_peer++ % state.peers.size()]}, out);
+}
+
+void call_router::SendAttemptTo(routing_state& state, std::uint64_t id, const owner_info& target,
+                                effects& out) {
   open_call& open = state.calls.at(id);
-  owner_info target = state.owner;
-  if (target.address.empty() && !state.peers.empty()) {
-    // A peer that does not own the cell names the owner it knows in its answer.
-    target.address = state.peers[state.next_peer++ % state.peers.size()];
-  }
-  if (target.address.empty()) return RetryLater(id, out);
   open.in_flight = true;
   open.target = target;
-  const call_attempt attempt{sender_, id, ++open.attempts, port_.wall_ms()};
+  const call_attempt attempt{target.epoch, sender_, id, ++open.attempts, port_.wall_ms()};
   const auto done = [this, id](const result<peer_answer>& outcome) { OnAttemptDone(id, outcome); };
   if (target.address == options_.address) {
     out.push_back([this, attempt, call = open.call, done] {
@@ -87,7 +89,7 @@
     if (found == state.calls.end()) return;
     open_call& open = found->second;
     open.in_flight = false;
-    if (outcome && !ShouldAskAnotherProcess(outcome->code)) {
+    if (outcome && IsFinal(state, open.target, outcome->code)) {
       state.failing_since = time_point::max();
       ReportRefusal(open, outcome->code, out);
       return Finish(state, id, *outcome, out);
@@ -96,6 +98,10 @@
         !outcome && outcome.detail() != kNoListenerDetail && outcome.detail() != kCallNotSentDetail;
     if (lost || (outcome && outcome->code == errc::kOutcomeUnknown)) open.may_have_effect = true;
     state.failing_since = std::min(state.failing_since, now);
+    // A claim that came to nothing is newer than the owner, which still answers.
+    if (outcome && outcome->acting_epoch != 0) {
+      return SendAttemptTo(state, id, {outcome->acting_epoch, open.target.address}, out);
+    }
     if (learned) return SendAttempt(state, id, out);
     // The supposed owner may be down or may have lost the cell, and without a connection to the
     // store it knows no newer owner: ask the peers next.
@@ -108,6 +114,13 @@
   });
 }
 
+// An error of an owner older than the newest known one does not end a call: it does not know which
+// calls the newer one has taken. The owner itself knows what earlier owners took, from the journal.
+bool call_router::IsFinal(const routing_state& state, const owner_info& answering, errc code) {
+  if (ShouldAskAnotherProcess(code)) return false;
+  return code == errc::kOk || answering.epoch >= state.owner.epoch;
+}
+
 void call_router::RetryLater(std::uint64_t id, effects& out) {
   out.push_back(
       [this, id] { port_.run_at(port_.now() + options_.retry_pause, [this, id] { Retry(id); }); });
--- a/packages/control/src/call_router.h
+++ b/packages/control/src/call_router.h
@@ -94,6 +94,9 @@
 
   void Update(const std::function<void(routing_state&, effects&)>& change);
   void SendAttempt(routing_state& state, std::uint64_t id, effects& out);
+  void SendAttemptTo(routing_state& state, std::uint64_t id, const owner_info& target,
+                     effects& out);
+  static bool IsFinal(const routing_state& state, const owner_info& answering, errc code);
   void OnAttemptDone(std::uint64_t id, const result<peer_answer>& outcome);
   void RetryLater(std::uint64_t id, effects& out);
   void Retry(std::uint64_t id);
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -468,9 +468,10 @@
 void cell_owner::Call(const routed_call& call, peer_reply reply) {
   Update([&](state& s, effects& out) {
     LogIfLate(call);
-    if (!s.HasBegun()) {
-      out.push_back({s.epoch, std::nullopt,
-                     [reply = std::move(reply)] { reply(ErrorAnswer(errc::kNotOwner)); }});
+    if (!s.HasBegun() || call.attempt.owner_epoch != s.epoch) {
+      peer_answer answer = ErrorAnswer(errc::kNotOwner);
+      if (s.HasBegun()) answer.acting_epoch = s.epoch;
+      out.push_back({s.epoch, std::nullopt, [reply = std::move(reply), answer] { reply(answer); }});
       return;
     }
     const time_point now = port_.now();
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -53,7 +53,7 @@
   // Gives up ownership of the cell permanently: this process does not claim it again.
   void Retire();
   void SetConfig(std::shared_ptr<const cell::fleet_config> config);
-  // Answers kNotOwner unless this process owns the cell.
+  // Answers kNotOwner unless this process owns the cell under the epoch that the attempt names.
   void Call(const routed_call& call, peer_reply reply);
   cell::scheduler_summary Summary() const;
   bool Owns() const;
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -86,7 +86,8 @@
 }
 template <class Archive>
 void serialize(Archive& archive, call_attempt& value) {
-  SerializeFields(archive, value.sender, value.call, value.number, value.sent_ms);
+  SerializeFields(archive, value.owner_epoch, value.sender, value.call, value.number,
+                  value.sent_ms);
 }
 template <class Archive>
 void serialize(Archive& archive, routed_call& value) {
@@ -119,7 +120,7 @@
 template <class Archive>
 void serialize(Archive& archive, peer_answer& value) {
   SerializeFields(archive, value.code, value.phase, value.pending, value.retry_after,
-                  value.approved, value.owner);
+                  value.approved, value.owner, value.acting_epoch);
 }
 
 namespace {
--- /dev/null
+++ b/packages/control/tests/call_router_test.cc
@@ -0,0 +1,135 @@
+// The router alone, with peers whose answers the test writes.
+#include "call_router.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+
+namespace sycamorehinge::control {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct router_fixture {
+  struct sent_call {
+    std::string address;
+    call_attempt attempt;
+    completion<peer_answer> done;
+  };
+  time_point now{std::chrono::hours(1)};
+  std::multimap<time_point, std::function<void()>> timers;
+  std::deque<sent_call> sent;
+  std::vector<errc> replies;
+  ports port;
+  call_router router;
+
+  router_fixture() : port(MakePorts()), router(port, {"self:1"}, MakeHandlers()) {}
+
+  static call_router_handlers MakeHandlers() {
+    const auto ignore = [](const cell_call&, errc, duration, const owner_info&) {};
+    return {{}, ignore, ignore};
+  }
+
+  ports MakePorts() {
+    ports made;
+    made.now = [this] { return now; };
+    made.wall_ms = [this] { return now.time_since_epoch().count() / 1000; };
+    made.run_at = [this](time_point when, std::function<void()> task) {
+      timers.emplace(when, std::move(task));
+    };
+    made.call_peer = [this](std::string_view address, const peer_call& call, duration, auto done) {
+      sent.push_back({std::string(address), std::get<routed_call>(call).attempt, done});
+    };
+    return made;
+  }
+  void Submit() {
+    router.Call(submit_call{1, "q", {}}, now + seconds(3),
+                [this](const peer_answer& answer) { replies.push_back(answer.code); });
+  }
+  // Runs until a call is sent, and takes it.
+  sent_call NextSent() {
+    for (const time_point end = now + seconds(3); sent.empty() && now < end;) Run(milliseconds(1));
+    REQUIRE_FALSE(sent.empty());
+    sent_call next = std::move(sent.front());
+    sent.pop_front();
+    return next;
+  }
+  void Run(duration time) {
+    for (const time_point end = now + time; now < end;) {
+      now += milliseconds(1);
+      while (!timers.empty() && timers.begin()->first <= now) {
+        const auto task = std::move(timers.begin()->second);
+        timers.erase(timers.begin());
+        task();
+      }
+    }
+  }
+};
+
+peer_answer NotOwner(const owner_info& known, std::uint64_t acting_epoch = 0) {
+  peer_answer answer = ErrorAnswer(errc::kNotOwner);
+  answer.owner = known;
+  answer.acting_epoch = acting_epoch;
+  return answer;
+}
+
+// Guards against a refusal by an owner that was cut off, although a newer one had accepted the job
+// and its answer was lost.
+TEST_CASE("An error of an older owner does not end a call") {
+  router_fixture played;
+  played.router.LearnOwner({9, "new:1"});
+  played.router.SetPeers({"old:1"});
+  played.Submit();
+  auto call = played.NextSent();
+  CHECK(call.address == "new:1");
+  CHECK(call.attempt.owner_epoch == 9);
+  call.done(errc::kTimeout);
+  call = played.NextSent();
+  CHECK(call.address == "old:1");
+  CHECK(call.attempt.owner_epoch == 0);
+  call.done(NotOwner({8, "old:1"}, 8));
+  call = played.NextSent();
+  CHECK(call.address == "old:1");
+  CHECK(call.attempt.owner_epoch == 8);
+  SECTION("a refusal") {
+    call.done(ErrorAnswer(errc::kLogUnavailable));
+    CHECK(played.replies.empty());
+    call = played.NextSent();
+    call.done(NotOwner({9, "new:1"}));
+    call = played.NextSent();
+    CHECK(call.address == "new:1");
+    CHECK(call.attempt.owner_epoch == 9);
+    call.done(ErrorAnswer(errc::kLogUnavailable));
+    CHECK(played.replies == std::vector{errc::kLogUnavailable});
+  }
+  SECTION("a refusal, and the newer owner does not answer") {
+    call.done(ErrorAnswer(errc::kLogUnavailable));
+    played.Run(seconds(3));
+    CHECK(played.replies == std::vector{errc::kOutcomeUnknown});
+  }
+  SECTION("a success") {
+    call.done(peer_answer());
+    CHECK(played.replies == std::vector{errc::kOk});
+  }
+}
+
+// Guards against calls that wait for a claimant that never owned the cell, while the owner works.
+TEST_CASE("A call reaches an owner that is older than the newest claim") {
+  router_fixture played;
+  played.router.LearnOwner({9, "claimant:1"});
+  played.router.SetPeers({"owner:1"});
+  played.Submit();
+  played.NextSent().done(NotOwner({9, "claimant:1"}));
+  auto call = played.NextSent();
+  CHECK(call.address == "owner:1");
+  call.done(NotOwner({9, "claimant:1"}, 8));
+  call = played.NextSent();
+  CHECK(call.address == "owner:1");
+  CHECK(call.attempt.owner_epoch == 8);
+  call.done(peer_answer());
+  CHECK(played.replies == std::vector{errc::kOk});
+}
+
+}  // namespace
+}  // namespace sycamorehinge::control
--- a/packages/control/tests/codec_test.cc
+++ b/packages/control/tests/codec_test.cc
@@ -30,11 +30,12 @@
 // Guards against fields that are missing from the encoding.
 TEST_CASE("Calls and answers are decoded as they were encoded") {
   routed_call sample;
-  sample.attempt = {"10.0.0.1:1/5/6", 3, 2, 77};
+  sample.attempt = {8, "10.0.0.1:1/5/6", 3, 2, 77};
   sample.call = submit_call{0xfedcba9876543210, "q", Sample()};
   const auto call = DecodeCall(EncodeCall(sample));
   REQUIRE(call);
   const auto& routed = std::get<routed_call>(*call);
+  CHECK(routed.attempt.owner_epoch == 8);
   CHECK(routed.attempt.sender == "10.0.0.1:1/5/6");
   CHECK(routed.attempt.call == 3);
   CHECK(routed.attempt.number == 2);
@@ -53,12 +54,14 @@
   peer_answer answer = ErrorAnswer(errc::kOverloaded, std::chrono::seconds(2));
   answer.approved = {{host_id{"h"}, "ticket"}};
   answer.owner = {7, "10.0.0.1:1"};
+  answer.acting_epoch = 6;
   const auto read = DecodeAnswer(EncodeAnswer(answer));
   REQUIRE(read);
   CHECK(read->code == errc::kOverloaded);
   CHECK(read->retry_after == std::chrono::seconds(2));
   CHECK(read->approved.front().ticket == "ticket");
   CHECK(read->owner.epoch == 7);
+  CHECK(read->acting_epoch == 6);
 }
 
 // Guards against a new owner that loads a state other than the previous owner wrote.
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -428,6 +428,31 @@
   CHECK(group.store.hosts.LastStart(2) == time_point());
 }
 
+// Guards against a job that runs although its submission was refused: an attempt that was sent to
+// an earlier owner arrived when the same process owned the cell again.
+TEST_CASE("An owner does not act on an attempt that was meant for an earlier owner") {
+  cluster group(2);
+  group.store.Run(seconds(3));
+  REQUIRE(group.OwnerName() == "p0");
+  routed_call late;
+  late.attempt.owner_epoch = group.nodes["p0"]->Summary().owner.epoch;
+  late.call = Job(1);
+  group.store.cut_off["p0"] = true;
+  group.store.Run(seconds(5));
+  REQUIRE(group.OwnerName().ends_with("p1"));
+  group.store.cut_off["p0"] = false;
+  group.store.Run(seconds(3));
+  group.Kill("p1");
+  group.store.Run(seconds(5));
+  REQUIRE(group.nodes["p0"]->Summary().owns_cell);
+  peer_answer answer;
+  group.nodes["p0"]->OnPeerCall(late, [&answer](const peer_answer& given) { answer = given; });
+  group.store.Run(seconds(1));
+  CHECK(answer.code == errc::kNotOwner);
+  CHECK(answer.acting_epoch > late.attempt.owner_epoch);
+  CHECK(group.store.hosts.LastStart(1) == time_point());
+}
+
 // Guards against an older configuration replacing a newer one, and against applying a malformed
 // one.
 TEST_CASE("Versions of the configuration only rise") {
