control: an owner does not act on attempts that their sender has replaced or given up

Cause: the router sends a call again after 1.2 s without an answer. The owner, in an outage of the store, refused the second attempt, and accepted the first one when it arrived after the outage. Closing a connection does not take back what is on its way.

Each attempt carries its number in the call and the lowest number of the sender's open calls. The owner records, for its epoch, the newest attempt of each open call that was sent again, and answers an older attempt, or one of a call that has ended, with kVoided. So an attempt that it refuses was the last one that could take effect. Event 8303 tells what became of a late attempt.

Weighed: answering such a refusal as unknown (504). It is simpler, but callers learn less: with 503 they know that the job does not run and when to come back. It remains the answer if no owner refuses before the deadline.

--- a/packages/control/include/sycamorehinge/control/calls.h
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -46,6 +46,8 @@
   // 1.
   std::uint64_t call = 0;
   std::uint32_t number = 0;
+  // All calls of the sender with lower numbers have ended.
+  std::uint64_t oldest_open_call = 0;
   // Wall clock of the sender when it sent the attempt; for the log only, since clocks differ.
   std::int64_t sent_ms = 0;
 };
--- a/packages/control/include/sycamorehinge/control/control_node.h
+++ b/packages/control/include/sycamorehinge/control/control_node.h
@@ -55,8 +55,8 @@
                        const owner_info& known) const;
   // `owner` refused a call after `held`, and an earlier attempt of it got no answer.
   void WriteRefused(const cell_call& call, errc code, duration held, const owner_info& owner) const;
-  // An attempt reached the owner `age` after it was sent.
-  void WriteLate(const routed_call& call, duration age) const;
+  // An attempt arrived `age` after it was sent; `outcome` tells whether the owner acts on it.
+  void WriteLate(const routed_call& call, duration age, errc outcome) const;
 
  private:
   void RecordMetrics(const cell::log_decision& decision) const;
--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -12,9 +12,11 @@
          std::holds_alternative<pending_jobs_call>(call);
 }
 
-// The asked process does not own the cell, does not own it yet, or lost it during the call.
-bool ShouldAskAnotherProcess(errc code) {
-  return code == errc::kNotOwner || code == errc::kNotReady || code == errc::kOutcomeUnknown;
+// The asked process does not own the cell, does not own it yet, or lost it during the call; or the
+// attempt was replaced on its way.
+bool ShouldAskAgain(errc code) {
+  return code == errc::kNotOwner || code == errc::kNotReady || code == errc::kOutcomeUnknown ||
+         code == errc::kVoided;
 }
 
 // The steady clock tells processes apart that start at the same time of a wall clock that was set
@@ -65,7 +67,8 @@
   open_call& open = state.calls.at(id);
   open.in_flight = true;
   open.target = target;
-  const call_attempt attempt{target.epoch, sender_, id, ++open.attempts, port_.wall_ms()};
+  const call_attempt attempt{
+      target.epoch, sender_, id, ++open.attempts, state.calls.begin()->first, port_.wall_ms()};
   const auto done = [this, id](const result<peer_answer>& outcome) { OnAttemptDone(id, outcome); };
   if (target.address == options_.address) {
     out.push_back([this, attempt, call = open.call, done] {
@@ -117,7 +120,7 @@
 // An error of an owner older than the newest known one does not end a call: it does not know which
 // calls the newer one has taken. The owner itself knows what earlier owners took, from the journal.
 bool call_router::IsFinal(const routing_state& state, const owner_info& answering, errc code) {
-  if (ShouldAskAnotherProcess(code)) return false;
+  if (ShouldAskAgain(code)) return false;
   return code == errc::kOk || answering.epoch >= state.owner.epoch;
 }
 
--- a/packages/control/src/call_router.h
+++ b/packages/control/src/call_router.h
@@ -5,9 +5,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "sycamorehinge/control/ports.h"
@@ -83,7 +83,7 @@
     owner_info owner;
     std::vector<std::string> peers;
     std::size_t next_peer = 0;
-    std::unordered_map<std::uint64_t, open_call> calls;
+    std::map<std::uint64_t, open_call> calls;
     std::uint64_t next_call = 1;
     bool closed = false;
     // First failed attempt since the last answer; max() if none.
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -191,6 +191,7 @@
 void cell_owner::StartFencing(state& s, std::uint64_t epoch, effects& out) {
   s.current_phase = phase::kFencing;
   s.epoch = epoch;
+  s.attempts = {};
   s.confirmed_at = {};
   out.push_back({epoch, std::nullopt, [this, epoch] { hooks_.on_claimed(epoch); }});
   LogTakeoverStage(s, event_number::kCellClaimed);
@@ -460,17 +461,24 @@
   });
 }
 
-void cell_owner::LogIfLate(const routed_call& call) const {
+// Returns whether this owner may act on the attempt: kOk, kNotOwner or kVoided.
+errc cell_owner::CheckAttempt(state& s, const call_attempt& attempt) {
+  if (!s.HasBegun() || attempt.owner_epoch != s.epoch) return errc::kNotOwner;
+  return s.attempts.Admit(attempt) ? errc::kOk : errc::kVoided;
+}
+
+void cell_owner::LogIfLate(const routed_call& call, errc outcome) const {
   const duration age = std::chrono::milliseconds(port_.wall_ms() - call.attempt.sent_ms);
-  if (age > kAttemptTimeout) log_.WriteLate(call, age);
+  if (age > kAttemptTimeout || outcome == errc::kVoided) log_.WriteLate(call, age, outcome);
 }
 
 void cell_owner::Call(const routed_call& call, peer_reply reply) {
   Update([&](state& s, effects& out) {
-    LogIfLate(call);
-    if (!s.HasBegun() || call.attempt.owner_epoch != s.epoch) {
-      peer_answer answer = ErrorAnswer(errc::kNotOwner);
-      if (s.HasBegun()) answer.acting_epoch = s.epoch;
+    const errc outcome = CheckAttempt(s, call.attempt);
+    LogIfLate(call, outcome);
+    if (outcome != errc::kOk) {
+      peer_answer answer = ErrorAnswer(outcome);
+      if (outcome == errc::kNotOwner && s.HasBegun()) answer.acting_epoch = s.epoch;
       out.push_back({s.epoch, std::nullopt, [reply = std::move(reply), answer] { reply(answer); }});
       return;
     }
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "advice_router.h"
+#include "attempt_register.h"
 #include "call_router.h"
 #include "journal_writer.h"
 #include "membership.h"
@@ -53,7 +54,8 @@
   // Gives up ownership of the cell permanently: this process does not claim it again.
   void Retire();
   void SetConfig(std::shared_ptr<const cell::fleet_config> config);
-  // Answers kNotOwner unless this process owns the cell under the epoch that the attempt names.
+  // Answers kNotOwner unless this process owns the cell under the epoch that the attempt names, and
+  // kVoided if the sender does not wait for the attempt any more.
   void Call(const routed_call& call, peer_reply reply);
   cell::scheduler_summary Summary() const;
   bool Owns() const;
@@ -111,6 +113,8 @@
     bool hosts_read = false;
     std::unordered_map<cell::call_number, peer_reply> open_calls;
     cell::call_number next_call = 1;
+    // Attempts that were sent to this owner in its epoch.
+    attempt_register attempts;
     advice_router advice;
     // Processes that can ask the policy service, by name, and the time of their last announcement.
     std::map<std::string, std::pair<member_info, time_point>> policy_clients;
@@ -161,7 +165,8 @@
   void ScheduleTick(std::uint64_t epoch);
   void CheckTickDelay(state& s);
   void LogStatus(state& s);
-  void LogIfLate(const routed_call& call) const;
+  static errc CheckAttempt(state& s, const call_attempt& attempt);
+  void LogIfLate(const routed_call& call, errc outcome) const;
   static void UpdatePolicyClients(state& s);
   void LogTakeoverStage(const state& s, event_number number, std::string_view stream = {}) const;
 
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -87,7 +87,7 @@
 template <class Archive>
 void serialize(Archive& archive, call_attempt& value) {
   SerializeFields(archive, value.owner_epoch, value.sender, value.call, value.number,
-                  value.sent_ms);
+                  value.oldest_open_call, value.sent_ms);
 }
 template <class Archive>
 void serialize(Archive& archive, routed_call& value) {
--- a/packages/control/tests/codec_test.cc
+++ b/packages/control/tests/codec_test.cc
@@ -30,7 +30,7 @@
 // Guards against fields that are missing from the encoding.
 TEST_CASE("Calls and answers are decoded as they were encoded") {
   routed_call sample;
-  sample.attempt = {8, "10.0.0.1:1/5/6", 3, 2, 77};
+  sample.attempt = {8, "10.0.0.1:1/5/6", 3, 2, 1, 77};
   sample.call = submit_call{0xfedcba9876543210, "q", Sample()};
   const auto call = DecodeCall(EncodeCall(sample));
   REQUIRE(call);
@@ -39,6 +39,7 @@
   CHECK(routed.attempt.sender == "10.0.0.1:1/5/6");
   CHECK(routed.attempt.call == 3);
   CHECK(routed.attempt.number == 2);
+  CHECK(routed.attempt.oldest_open_call == 1);
   CHECK(routed.attempt.sent_ms == 77);
   const auto& submit = std::get<submit_call>(routed.call);
   CHECK(submit.job == 0xfedcba9876543210);
--- a/packages/telemetry/src/event_catalogue.cc
+++ b/packages/telemetry/src/event_catalogue.cc
@@ -276,8 +276,8 @@
                       "the owner refused a call of which an earlier attempt got no answer", "none"},
     event_description{
         kCallLate, kWarning, "call_late",
-        "an attempt reached the owner after its sender had given it up, by the clocks "
-        "of both machines",
+        "an attempt to pass a call to the owner arrived after its sender had given it "
+        "up; the field outcome tells whether the owner acted on it",
         "check the network between the processes"},
 };
 
