control: the soak disturbs calls between processes and checks refused jobs

Calls to a process, mostly the owner, are held back (half of the time over an outage of the store), reset after they arrived, or lost in one or both directions. Callers submit a refused job up to three times; no task of a job that was refused each time may start.

--- a/packages/control/tests/soak_test.cc
+++ b/packages/control/tests/soak_test.cc
@@ -1,6 +1,6 @@
-// Seeded soak: processes crash, stop and start again, the store and its answers come and go, and
-// processes are cut off, one on top of the other, while callers submit and cancel jobs through any
-// process and give up.
+// Seeded soak: processes crash, stop and start again, the store and its answers come and go,
+// processes are cut off, and calls between them are held back, reset or lost, one on top of the
+// other, while callers submit and cancel jobs through any process, try again and give up.
 #include <algorithm>
 #include <catch2/catch.hpp>
 
@@ -10,7 +10,7 @@
 namespace {
 
 // To be raised by hand after a change of ownership, leases or recovery.
-constexpr std::uint64_t kSeeds = 12;
+constexpr std::uint64_t kSeeds = 40;
 constexpr int kProcesses = 6;
 constexpr int kHosts = 4;
 constexpr duration kPlayed = seconds(40);
@@ -45,6 +45,13 @@
   fake_store& store() { return group_.store; }
   std::size_t Accepted() const { return accepted_.size(); }
   std::size_t Cancelled() const { return cancelled_.size(); }
+  std::size_t Refused() const { return refused_.size(); }
+  // Jobs that started although all submissions of them were refused.
+  std::size_t RefusedStarts() {
+    return std::count_if(refused_.begin(), refused_.end(), [this](cell::job_number job) {
+      return store().hosts.LastStart(job) != time_point();
+    });
+  }
 
   // Accepted jobs that nobody cancelled and that have not been completed.
   std::size_t Unfinished() {
@@ -96,17 +103,24 @@
 
   // Submits a job; the caller may leave without the answer and cancel the job at another process.
   void SubmitJob() {
-    const cell::job_number job = next_job_++;
-    submit_call call = Job(job);
+    submit_call call = Job(next_job_++);
     call.spec.steps[0].count = 1 + static_cast<std::uint32_t>(Below(3));
     const bool leaves = Below(3) == 0;
+    const cell::job_number job = call.job;
+    Submit(call, 3);
+    if (!leaves && Below(4) != 0) return;
+    After(milliseconds(leaves ? 900 : 100 * Below(20)), [this, job] { Cancel(job, 8); });
+  }
+  // Submits the job, again while it is refused.
+  void Submit(const submit_call& call, int tries) {
     Process(AnyProcess())
         .Call(call, store().now + seconds(1 + 2 * Below(2)),
-              [this, job](const peer_answer& answer) {
-                if (answer.code == errc::kOk) accepted_.push_back(job);
+              [this, call, tries](const peer_answer& answer) {
+                if (answer.code == errc::kOk) return accepted_.push_back(call.job);
+                if (answer.code == errc::kOutcomeUnknown) return;
+                if (tries == 1) return refused_.push_back(call.job);
+                After(milliseconds(300), [this, call, tries] { Submit(call, tries - 1); });
               });
-    if (!leaves && Below(4) != 0) return;
-    After(milliseconds(leaves ? 900 : 100 * Below(20)), [this, job] { Cancel(job, 8); });
   }
   // Cancels the job, again while there is no answer.
   void Cancel(cell::job_number job, int tries) {
@@ -126,7 +140,7 @@
     const int number = AnyProcess();
     const std::string name = NameOf(number);
     const duration length = milliseconds(500 * (1 + Below(12)));
-    switch (Below(8)) {
+    switch (Below(9)) {
       case 0:
         return EndProcess(number);
       case 1:
@@ -157,6 +171,8 @@
         }
         return After(2 * length, [this] { Heal(); });
       }
+      case 7:
+        return DisturbLink(length);
       default: {
         const std::pair row(name, Host(Below(kHosts)));
         store().hosts.cut_off.insert(row);
@@ -165,7 +181,34 @@
     }
   }
 
+  // Disturbs the calls to one process, mostly the owner. Calls that are held back over an outage of
+  // the store arrive after it.
+  void DisturbLink(duration length) {
+    const std::string owner = group_.OwnerName();
+    const bool any = owner.empty() || Below(4) == 0;
+    const std::string address = (any ? NameOf(AnyProcess()) : owner).substr(0, 2) + ":1";
+    link_fault& link = store().link_faults[address];
+    const auto connections = static_cast<std::uint32_t>(1 + Below(40));
+    switch (Below(4)) {
+      case 0:
+        link = held_link{store().now + length, connections};
+        if (Below(2) == 0) return;
+        store().available = false;
+        return After(length - milliseconds(400), [this] { store().available = true; });
+      case 1:
+        link = reset_link{connections};
+        return;
+      case 2:
+        link = silent_link{};
+        break;
+      default:
+        link = one_way_link{};
+    }
+    After(length, [this, address] { store().link_faults.erase(address); });
+  }
+
   void Heal() {
+    store().link_faults.clear();
     store().available = true;
     store().answer_delay = milliseconds(4);
     store().cut_off.clear();
@@ -179,14 +222,16 @@
   bool up_[kProcesses] = {};
   cell::job_number next_job_ = 1;
   std::vector<cell::job_number> accepted_;
+  std::vector<cell::job_number> refused_;
   std::set<cell::job_number> cancels_sent_;
   // Jobs whose cancelling was acknowledged, and the time of it.
   std::map<cell::job_number, time_point> cancelled_;
 };
 
-// Guards against tasks that run twice, start after their cancelling, or never run, under faults of
-// processes, store and network that overlap.
+// Guards against tasks that run twice, start after their cancelling or although their job was
+// refused, or never run, under faults of processes, store and network that overlap.
 TEST_CASE("A soak of overlapping faults runs all work once and no cancelled work") {
+  std::size_t refused = 0;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     CAPTURE(seed);
     soak played(seed);
@@ -196,8 +241,11 @@
     CHECK(played.store().hosts.double_runs == 0);
     CHECK(played.store().hosts.runs_after_success == 0);
     CHECK(played.LateStarts() == 0);
+    CHECK(played.RefusedStarts() == 0);
     CHECK(played.Unfinished() == 0);
+    refused += played.Refused();
   }
+  CHECK(refused > 0);
 }
 
 }  // namespace
