--- a/packages/control/include/sycamorehinge/control/calls.h
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -31,6 +31,30 @@
 struct pending_jobs_call {
   std::string queue;
 };
+// Calls that the owner of the cell handles.
+using cell_call = std::variant<submit_call, cancel_call, job_state_call, pending_jobs_call>;
+
+// One attempt of a process to pass a call to the owner. A call is attempted again if it gets no
+// answer, and each attempt may arrive late.
+struct call_attempt {
+  // Epoch of the owner that the attempt is meant for, so that no other owner acts on it. 0: the
+  // receiver only tells whether it owns the cell.
+  std::uint64_t owner_epoch = 0;
+  // Identifies the sending process among all processes and their restarts.
+  std::string sender;
+  // Number of the call among those of the sender, and of the attempt among those of the call, from
+  // 1.
+  std::uint64_t call = 0;
+  std::uint32_t number = 0;
+  // All calls of the sender with lower numbers have ended.
+  std::uint64_t oldest_open_call = 0;
+  // Wall clock of the sender when it sent the attempt; for the log only, since clocks differ.
+  std::int64_t sent_ms = 0;
+};
+struct routed_call {
+  call_attempt attempt;
+  cell_call call;
+};
 // Asks the policy service on behalf of the sender. The service handles one call at a time for each
 // machine, so the owner spreads its requests over the machines.
 struct advice_call {
@@ -54,8 +78,8 @@
   // Epoch of the sender.
   std::uint64_t epoch = 0;
 };
-using peer_call = std::variant<submit_call, cancel_call, job_state_call, pending_jobs_call,
-                               advice_call, offer_call, announce_call, fence_call>;
+// Calls between processes.
+using peer_call = std::variant<routed_call, advice_call, offer_call, announce_call, fence_call>;
 
 // Owner of the cell. A higher epoch is newer.
 struct owner_info {
@@ -77,6 +101,9 @@
   std::vector<approved_host> approved;
   // Newest owner that the answering process knows.
   owner_info owner;
+  // With kNotOwner: epoch under which the answering process owns the cell, other than the one that
+  // the call named; 0 if it does not own it.
+  std::uint64_t acting_epoch = 0;
 };
 
 // Returns an answer with only an error code and a retry hint.
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -32,7 +32,7 @@
 }
 
 // Returns whether the answer to the call has to wait for a record that is not written yet.
-bool NeedsNewRecord(const cell::scheduler& scheduler, const peer_call& call) {
+bool NeedsNewRecord(const cell::scheduler& scheduler, const cell_call& call) {
   return std::visit(overloaded{[&](const submit_call& row) { return !scheduler.Knows(row.job); },
                                [&](const cancel_call& row) {
                                  return !scheduler.Knows(row.job) &&
@@ -191,6 +191,7 @@
 void cell_owner::StartFencing(state& s, std::uint64_t epoch, effects& out) {
   s.current_phase = phase::kFencing;
   s.epoch = epoch;
+  s.attempts = {};
   s.confirmed_at = {};
   out.push_back({epoch, std::nullopt, [this, epoch] { hooks_.on_claimed(epoch); }});
   LogTakeoverStage(s, event_number::kCellClaimed);
@@ -460,16 +461,30 @@
   });
 }
 
-void cell_owner::Call(const peer_call& call, peer_reply reply) {
+// Returns whether this owner may act on the attempt: kOk, kNotOwner or kVoided.
+errc cell_owner::CheckAttempt(state& s, const call_attempt& attempt) {
+  if (!s.HasBegun() || attempt.owner_epoch != s.epoch) return errc::kNotOwner;
+  return s.attempts.Admit(attempt) ? errc::kOk : errc::kVoided;
+}
+
+void cell_owner::LogIfLate(const routed_call& call, errc outcome) const {
+  const duration age = std::chrono::milliseconds(port_.wall_ms() - call.attempt.sent_ms);
+  if (age > kAttemptTimeout || outcome == errc::kVoided) log_.WriteLate(call, age, outcome);
+}
+
+void cell_owner::Call(const routed_call& call, peer_reply reply) {
   Update([&](state& s, effects& out) {
-    if (!s.HasBegun()) {
-      out.push_back({s.epoch, std::nullopt,
-                     [reply = std::move(reply)] { reply(ErrorAnswer(errc::kNotOwner)); }});
+    const errc outcome = CheckAttempt(s, call.attempt);
+    LogIfLate(call, outcome);
+    if (outcome != errc::kOk) {
+      peer_answer answer = ErrorAnswer(outcome);
+      if (outcome == errc::kNotOwner && s.HasBegun()) answer.acting_epoch = s.epoch;
+      out.push_back({s.epoch, std::nullopt, [reply = std::move(reply), answer] { reply(answer); }});
       return;
     }
     const time_point now = port_.now();
     const duration outage = s.journal->OutageAge(now);
-    if (outage > duration::zero() && NeedsNewRecord(*s.scheduler, call)) {
+    if (outage > duration::zero() && NeedsNewRecord(*s.scheduler, call.call)) {
       out.push_back({s.epoch, std::nullopt, [reply = std::move(reply), outage] {
                        reply(ErrorAnswer(errc::kLogUnavailable, RetryAfterOutage(outage)));
                      }});
@@ -487,10 +502,8 @@
               s.scheduler->Cancel(number, cancel.job, port_.wall_ms());
             },
             [&](const job_state_call& asked) { s.scheduler->State(number, asked.job); },
-            [&](const pending_jobs_call& pending) { s.scheduler->Pending(number, pending.queue); },
-            [](const advice_call&) {}, [](const offer_call&) {}, [](const announce_call&) {},
-            [](const fence_call&) {}},
-        call);
+            [&](const pending_jobs_call& pending) { s.scheduler->Pending(number, pending.queue); }},
+        call.call);
   });
 }
 
