control: an owner denies or counts jobs only while the store confirms that it owns the cell

Cause: an owner that was replaced without knowing it, cut off from the store and from its successor, answered reads from its own state, which has no job that the successor accepted.

While records are written this costs up to one append; without traffic an empty append is sent after 20 ms. In an outage such reads end as not ready (503) with a time to come back; reads of known jobs are answered as before.

--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -24,6 +24,9 @@
 constexpr duration kMinOutageRetry = std::chrono::milliseconds(1000);
 constexpr duration kMaxOutageRetry = std::chrono::milliseconds(3000);
 
+// Counts of waiting jobs may be this old.
+constexpr duration kMaxCountAge = std::chrono::seconds(2);
+
 std::int64_t Milliseconds(duration time) { return time.count() / 1000; }
 
 // Callers come back soon after a short outage, and later the longer it lasts.
@@ -106,20 +109,37 @@
       out.push_back({s.epoch, std::move(action), {}});
       continue;
     }
-    const auto found = s.open_calls.find(answer->call);
-    if (found == s.open_calls.end()) continue;
-    peer_answer reply;
-    reply.code = answer->code;
-    reply.phase = answer->phase;
-    reply.pending = answer->pending;
-    reply.retry_after = answer->retry_after;
-    out.push_back(
-        {s.epoch, std::nullopt, [reply, call = std::move(found->second)] { call(reply); }});
-    s.open_calls.erase(found);
+    SendAnswer(s, *answer, out);
   }
   s.actions.clear();
 }
 
+// Returns the time at which this process must have owned the cell for the answer to be true. An
+// owner that was replaced without knowing it does not know which jobs the next one has accepted.
+time_point cell_owner::NeededConfirmation(const open_call& call, errc code) {
+  if (call.kind == read_kind::kCount) return call.arrived - kMaxCountAge;
+  if (call.kind == read_kind::kJobState && code == errc::kUnknownJob) return call.arrived;
+  return time_point::min();
+}
+
+void cell_owner::SendAnswer(state& s, const cell::answer_call& answer, effects& out) {
+  const auto found = s.open_calls.find(answer.call);
+  if (found == s.open_calls.end()) return;
+  if (s.confirmed_at < NeededConfirmation(found->second, answer.code)) {
+    s.unconfirmed_answers.push_back(answer);
+    out.push_back({s.epoch, std::nullopt, [journal = s.journal] { journal->Confirm(); }});
+    return;
+  }
+  peer_answer reply;
+  reply.code = answer.code;
+  reply.phase = answer.phase;
+  reply.pending = answer.pending;
+  reply.retry_after = answer.retry_after;
+  out.push_back(
+      {s.epoch, std::nullopt, [reply, call = std::move(found->second.reply)] { call(reply); }});
+  s.open_calls.erase(found);
+}
+
 void cell_owner::OnMembers(owner_candidacy candidacy, time_point requested_at) {
   Update([&](state& s, effects& out) {
     if (s.retired) return;
@@ -212,10 +232,13 @@
 }
 
 void cell_owner::OnConfirmed(std::uint64_t epoch, time_point at) {
-  Update([&](state& s, effects&) {
+  Update([&](state& s, effects& out) {
     if (s.epoch != epoch) return;
     s.confirmed_at = std::max(s.confirmed_at, at);
     if (s.scheduler) s.scheduler->OnOwnershipConfirmed(s.confirmed_at);
+    for (const cell::answer_call& answer : std::exchange(s.unconfirmed_answers, {})) {
+      SendAnswer(s, answer, out);
+    }
   });
 }
 
@@ -439,9 +462,10 @@
   s.scheduler.reset();
   s.listed_hosts.clear();
   // The effects of these calls may already be in the journal.
-  for (auto& [number, reply] : std::exchange(s.open_calls, {})) {
+  s.unconfirmed_answers.clear();
+  for (auto& [number, call] : std::exchange(s.open_calls, {})) {
     out.push_back({epoch, std::nullopt,
-                   [reply = std::move(reply)] { reply(ErrorAnswer(errc::kOutcomeUnknown)); }});
+                   [reply = std::move(call.reply)] { reply(ErrorAnswer(errc::kOutcomeUnknown)); }});
   }
   out.push_back({epoch, std::nullopt, hooks_.on_lost});
 }
@@ -461,6 +485,13 @@
   });
 }
 
+cell_owner::read_kind cell_owner::KindOf(const cell_call& call) {
+  return std::visit(overloaded{[](const job_state_call&) { return read_kind::kJobState; },
+                               [](const pending_jobs_call&) { return read_kind::kCount; },
+                               [](const auto&) { return read_kind::kNone; }},
+                    call);
+}
+
 // Returns whether this owner may act on the attempt: kOk, kNotOwner or kVoided.
 errc cell_owner::CheckAttempt(state& s, const call_attempt& attempt) {
   if (!s.HasBegun() || attempt.owner_epoch != s.epoch) return errc::kNotOwner;
@@ -491,7 +522,7 @@
       return;
     }
     const cell::call_number number = s.next_call++;
-    s.open_calls.emplace(number, std::move(reply));
+    s.open_calls.emplace(number, open_call{std::move(reply), now, KindOf(call.call)});
     std::visit(
         overloaded{
             [&](const submit_call& submit) {
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -81,6 +81,12 @@
     // The journal holds the record of the term: no other owner has the same one.
     kActive,
   };
+  enum class read_kind { kNone, kJobState, kCount };
+  struct open_call {
+    peer_reply reply;
+    time_point arrived;
+    read_kind kind = read_kind::kNone;
+  };
   struct state {
     phase current_phase = phase::kIdle;
     std::uint64_t epoch = 0;
@@ -111,7 +117,9 @@
     std::vector<host_id> listed_hosts;
     bool journal_read = false;
     bool hosts_read = false;
-    std::unordered_map<cell::call_number, peer_reply> open_calls;
+    std::unordered_map<cell::call_number, open_call> open_calls;
+    // Answers that wait until the journal confirms that this process still owns the cell.
+    std::vector<cell::answer_call> unconfirmed_answers;
     cell::call_number next_call = 1;
     // Attempts that were sent to this owner in its epoch.
     attempt_register attempts;
@@ -137,6 +145,9 @@
   // Applies `change` if the scheduler has begun its term under `epoch`.
   void UpdateScheduler(std::uint64_t epoch, const std::function<void(cell::scheduler&)>& change);
   void CollectActions(state& s, effects& out);
+  static read_kind KindOf(const cell_call& call);
+  static time_point NeededConfirmation(const open_call& call, errc code);
+  static void SendAnswer(state& s, const cell::answer_call& answer, effects& out);
   static void CountAction(const cell::action& action, call_counts& sent);
   void Execute(const effect& item);
 
--- a/packages/control/src/journal_writer.cc
+++ b/packages/control/src/journal_writer.cc
@@ -23,6 +23,8 @@
 constexpr duration kSilentLimit = std::chrono::milliseconds(1000);
 // Bounds the time until a writer is confirmed again once the store is back.
 constexpr duration kConfirmationCheckInterval = std::chrono::milliseconds(250);
+// An append of records that is sent meanwhile confirms as well; limits the additional ones.
+constexpr duration kConfirmDelay = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -76,19 +78,42 @@
                [self = shared_from_this()] { self->RequestConfirmation(); });
 }
 
-// An append without records is accepted only from a writer that has not been fenced.
 void journal_writer::RequestConfirmation() {
-  const time_point now = port_.now();
   {
     const std::lock_guard lock(mutex_);
     if (stopped_) return;
-    if (now - confirmed_at_ < options_.confirm_interval) return ScheduleConfirmation();
+    if (port_.now() - confirmed_at_ < options_.confirm_interval) return ScheduleConfirmation();
+  }
+  SendConfirmation();
+  ScheduleConfirmation();
+}
+
+void journal_writer::Confirm() {
+  const time_point now = port_.now();
+  {
+    const std::lock_guard lock(mutex_);
+    confirmation_wanted_at_ = now;
+    if (std::exchange(wanted_confirmation_scheduled_, true)) return;
   }
+  port_.run_at(now + kConfirmDelay, [self = shared_from_this()] { self->ConfirmIfWanted(); });
+}
+
+void journal_writer::ConfirmIfWanted() {
+  {
+    const std::lock_guard lock(mutex_);
+    wanted_confirmation_scheduled_ = false;
+    if (stopped_ || confirmed_at_ >= confirmation_wanted_at_) return;
+  }
+  SendConfirmation();
+}
+
+// An append without records is accepted only from a writer that has not been fenced.
+void journal_writer::SendConfirmation() {
+  const time_point now = port_.now();
   port_.append(stream_name::kJournal, append_guard{options_.producer, epoch_, 0}, {},
                [self = shared_from_this(), now](const result<std::uint64_t>& outcome) {
                  self->OnConfirmation(outcome.code(), now);
                });
-  ScheduleConfirmation();
 }
 
 void journal_writer::OnConfirmation(errc code, time_point sent) {
--- a/packages/control/src/journal_writer.h
+++ b/packages/control/src/journal_writer.h
@@ -46,6 +46,9 @@
   // then on the store is asked at intervals whether this writer has been fenced.
   void Fence(std::function<void(errc)> done);
   void Add(std::uint64_t sequence, const cell::journal_record& record);
+  // Has `on_confirmed` called soon for a time that is not before this call, unless the store cannot
+  // be reached.
+  void Confirm();
   // Time since the first attempt of the append in flight; zero if there is none.
   duration OldestAppendAge(time_point now);
   // Returns how long the store has stored nothing, if a record added now would probably not become
@@ -69,6 +72,8 @@
   void OnFenced(errc code, time_point sent);
   void ScheduleConfirmation();
   void RequestConfirmation();
+  void ConfirmIfWanted();
+  void SendConfirmation();
   void OnConfirmation(errc code, time_point sent);
   duration RetryDelay(std::uint32_t attempt) const;
   void UpdateAnswerTime(time_point sent);
@@ -91,6 +96,9 @@
   std::uint64_t next_append_sequence_ = 1;
   std::function<void(errc)> fence_done_;
   bool confirmation_scheduled_ = false;
+  // Time of the last call of Confirm(), and whether it has a check that is due.
+  time_point confirmation_wanted_at_;
+  bool wanted_confirmation_scheduled_ = false;
   time_point confirmed_at_;
   // Moving average of the time to an answer; zero before the first one.
   duration answer_time_{};
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -453,6 +453,27 @@
   CHECK(group.store.hosts.LastStart(1) == time_point());
 }
 
+// Guards against a job that is denied (410) after it was accepted: an owner that was replaced and
+// does not know it was asked.
+TEST_CASE("An owner that was replaced without knowing it does not deny a job") {
+  cluster group(2);
+  group.store.Run(seconds(3));
+  REQUIRE(group.OwnerName() == "p0");
+  // Without other traffic the store confirms the owner for the answer.
+  CHECK(group.Call("p1", job_state_call{1}, milliseconds(60)) == errc::kUnknownJob);
+  group.store.cut_off["p0"] = true;
+  group.store.cut_off_from_peers.insert("p0");
+  while (!group.nodes["p1"]->Summary().owns_cell) group.store.Run(milliseconds(10));
+  REQUIRE(group.Call("p1", Job(1)) == errc::kOk);
+  REQUIRE(group.nodes["p0"]->Summary().owns_cell);
+  CHECK(group.Call("p0", job_state_call{1}, seconds(1)) == errc::kNotReady);
+  CHECK(group.Call("p0", pending_jobs_call{"q"}, seconds(1)) == errc::kNotReady);
+  group.store.cut_off["p0"] = false;
+  group.store.cut_off_from_peers.clear();
+  group.store.Run(seconds(3));
+  CHECK(group.Call("p0", job_state_call{1}) == errc::kOk);
+}
+
 // Guards against an older configuration replacing a newer one, and against applying a malformed
 // one.
 TEST_CASE("Versions of the configuration only rise") {
