control: empty appends do not queue before records in a slow store

An empty append is sent only if none is unanswered and no append of records is in flight, which confirms as well.

--- a/packages/control/src/journal_writer.cc
+++ b/packages/control/src/journal_writer.cc
@@ -82,34 +82,46 @@
   {
     const std::lock_guard lock(mutex_);
     if (stopped_) return;
-    if (port_.now() - confirmed_at_ < options_.confirm_interval) return ScheduleConfirmation();
+    const bool due = port_.now() - confirmed_at_ >= options_.confirm_interval;
+    if (!due || sending_ || confirming_) return ScheduleConfirmation();
   }
   SendConfirmation();
   ScheduleConfirmation();
 }
 
 void journal_writer::Confirm() {
-  const time_point now = port_.now();
   {
     const std::lock_guard lock(mutex_);
-    confirmation_wanted_at_ = now;
+    confirmation_wanted_at_ = port_.now();
     if (std::exchange(wanted_confirmation_scheduled_, true)) return;
   }
-  port_.run_at(now + kConfirmDelay, [self = shared_from_this()] { self->ConfirmIfWanted(); });
+  ScheduleWantedConfirmation();
+}
+
+void journal_writer::ScheduleWantedConfirmation() {
+  port_.run_at(port_.now() + kConfirmDelay,
+               [self = shared_from_this()] { self->ConfirmIfWanted(); });
 }
 
 void journal_writer::ConfirmIfWanted() {
   {
     const std::lock_guard lock(mutex_);
-    wanted_confirmation_scheduled_ = false;
-    if (stopped_ || confirmed_at_ >= confirmation_wanted_at_) return;
+    wanted_confirmation_scheduled_ = !stopped_ && confirmed_at_ < confirmation_wanted_at_;
+    if (!wanted_confirmation_scheduled_) return;
+    if (sending_ || confirming_) return ScheduleWantedConfirmation();
   }
   SendConfirmation();
+  ScheduleWantedConfirmation();
 }
 
-// An append without records is accepted only from a writer that has not been fenced.
+// An append without records is accepted only from a writer that has not been fenced. There is one
+// at a time, and none beside an append of records: a store that is slow works on one after another.
 void journal_writer::SendConfirmation() {
   const time_point now = port_.now();
+  {
+    const std::lock_guard lock(mutex_);
+    confirming_ = true;
+  }
   port_.append(stream_name::kJournal, append_guard{options_.producer, epoch_, 0}, {},
                [self = shared_from_this(), now](const result<std::uint64_t>& outcome) {
                  self->OnConfirmation(outcome.code(), now);
@@ -117,10 +129,10 @@
 }
 
 void journal_writer::OnConfirmation(errc code, time_point sent) {
-  if (code != errc::kOk && code != errc::kStaleTerm) return;
   {
     const std::lock_guard lock(mutex_);
-    if (stopped_) return;
+    confirming_ = false;
+    if (stopped_ || (code != errc::kOk && code != errc::kStaleTerm)) return;
     if (code == errc::kOk) confirmed_at_ = std::max(confirmed_at_, sent);
     if (code == errc::kStaleTerm) stopped_ = true;
   }
--- a/packages/control/src/journal_writer.h
+++ b/packages/control/src/journal_writer.h
@@ -72,6 +72,7 @@
   void OnFenced(errc code, time_point sent);
   void ScheduleConfirmation();
   void RequestConfirmation();
+  void ScheduleWantedConfirmation();
   void ConfirmIfWanted();
   void SendConfirmation();
   void OnConfirmation(errc code, time_point sent);
@@ -99,6 +100,8 @@
   // Time of the last call of Confirm(), and whether it has a check that is due.
   time_point confirmation_wanted_at_;
   bool wanted_confirmation_scheduled_ = false;
+  // An append without records has no answer yet.
+  bool confirming_ = false;
   time_point confirmed_at_;
   // Moving average of the time to an answer; zero before the first one.
   duration answer_time_{};
--- a/packages/control/tests/journal_writer_test.cc
+++ b/packages/control/tests/journal_writer_test.cc
@@ -1,5 +1,6 @@
 #include "journal_writer.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "fake_store.h"
@@ -94,6 +95,41 @@
   newer->Stop();
 }
 
+// Guards against a store that is slow, works on one append at a time, and never gets to the records
+// since empty appends queue before them (trouble-2 of sutepuu-sched).
+TEST_CASE("Empty appends wait for each other and for records") {
+  journal_fixture fixture;
+  int empty = 0;
+  int records = 0;
+  int most = 0;
+  fixture.port.append = [&, send = fixture.port.append](
+                            stream_name name, const std::optional<append_guard>& guard,
+                            const std::vector<stream_record>& rows, auto done) {
+    int& open = rows.empty() ? empty : records;
+    ++open;
+    if (rows.empty()) most = std::max(most, empty + records);
+    send(name, guard, rows, [&open, done](const result<std::uint64_t>& outcome) {
+      --open;
+      done(outcome);
+    });
+  };
+  fixture.writer->Fence([](errc) {});
+  fixture.store.Run(milliseconds(2000));
+  fixture.store.answer_delay = milliseconds(900);
+  SECTION("without records") {
+    fixture.store.Run(milliseconds(5000));
+    CHECK(fixture.store.now - fixture.confirmed <= milliseconds(2500));
+  }
+  SECTION("with records") {
+    for (std::uint64_t i = 1; i <= 50; ++i) {
+      fixture.writer->Add(i, cell::term_record{i});
+      fixture.writer->Confirm();
+      fixture.store.Run(milliseconds(100));
+    }
+  }
+  CHECK(most == 1);
+}
+
 // Guards against retries that add load to a store that is only slow.
 TEST_CASE("Appends to a slow store are not retried once its answer time is known") {
   journal_fixture fixture;
