control: a call that reached no owner is refused, not unknown

Callers saw: 504 for a submission that no owner can have taken, if a process that was asked who owns the cell did not answer. An attempt that names no owner has no effect, so a lost one leaves the call refusable: it ends with 503 and a time to come back.

--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -19,6 +19,9 @@
          code == errc::kVoided;
 }
 
+// An attempt that names no owner has no effect.
+bool NamesOwner(const owner_info& target) { return target.epoch != 0; }
+
 // The steady clock tells processes apart that start at the same time of a wall clock that was set
 // back.
 std::string MakeSenderName(const ports& port, std::string_view address) {
@@ -99,7 +102,8 @@
     }
     const bool lost =
         !outcome && outcome.detail() != kNoListenerDetail && outcome.detail() != kCallNotSentDetail;
-    if (lost || (outcome && outcome->code == errc::kOutcomeUnknown)) open.may_have_effect = true;
+    const bool unknown = outcome && outcome->code == errc::kOutcomeUnknown;
+    if ((lost || unknown) && NamesOwner(open.target)) open.may_have_effect = true;
     state.failing_since = std::min(state.failing_since, now);
     // A claim that came to nothing is newer than the owner, which still answers.
     if (outcome && outcome->acting_epoch != 0) {
@@ -153,7 +157,8 @@
 // Ends a call without an answer of the owner; the error tells whether it may have had an effect.
 void call_router::GiveUp(routing_state& state, std::uint64_t id, effects& out) {
   const open_call& open = state.calls.at(id);
-  const bool unknown = (open.may_have_effect || open.in_flight) && !IsRead(*open.call);
+  const bool sent = open.in_flight && NamesOwner(open.target);
+  const bool unknown = (open.may_have_effect || sent) && !IsRead(*open.call);
   Refuse(state, id, unknown ? errc::kOutcomeUnknown : errc::kNotReady, out);
 }
 
--- a/packages/control/tests/call_router_test.cc
+++ b/packages/control/tests/call_router_test.cc
@@ -114,6 +114,23 @@
   }
 }
 
+// Guards against a call whose outcome is called unknown although no owner can have acted on it.
+TEST_CASE("A call that was sent to no owner is refused") {
+  router_fixture played;
+  played.router.SetPeers({"peer:1"});
+  played.Submit();
+  SECTION("a peer does not answer") {
+    const auto call = played.NextSent();
+    CHECK(call.attempt.owner_epoch == 0);
+    call.done(errc::kTimeout);
+    played.NextSent().done(errc::kTimeout);
+    played.Run(seconds(1));
+  }
+  SECTION("a peer has not answered at the deadline") {}
+  played.Run(seconds(3));
+  CHECK(played.replies == std::vector{errc::kNotReady});
+}
+
 // Guards against calls that wait for a claimant that never owned the cell, while the owner works.
 TEST_CASE("A call reaches an owner that is older than the newest claim") {
   router_fixture played;
