control: a refusal is not final if an attempt was meant for a newer owner

The router compared the epoch of a refusing owner with the newest owner that it had learned. An attempt can be meant for a newer one that it has not learned: a process that owns the cell names its epoch, but no address if its own router has none. The refusal of an older owner then ended the call. Each call now keeps the newest epoch that its attempts named.

--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -70,6 +70,7 @@
   open_call& open = state.calls.at(id);
   open.in_flight = true;
   open.target = target;
+  open.newest_epoch = std::max(open.newest_epoch, target.epoch);
   const call_attempt attempt{
       target.epoch, sender_, id, ++open.attempts, state.calls.begin()->first, port_.wall_ms()};
   const auto done = [this, id](const result<peer_answer>& outcome) { OnAttemptDone(id, outcome); };
@@ -95,7 +96,7 @@
     if (found == state.calls.end()) return;
     open_call& open = found->second;
     open.in_flight = false;
-    if (outcome && IsFinal(state, open.target, outcome->code)) {
+    if (outcome && IsFinal(state, open, outcome->code)) {
       state.failing_since = time_point::max();
       ReportRefusal(open, outcome->code, out);
       return Finish(state, id, *outcome, out);
@@ -123,9 +124,10 @@
 
 // An error of an owner older than the newest known one does not end a call: it does not know which
 // calls the newer one has taken. The owner itself knows what earlier owners took, from the journal.
-bool call_router::IsFinal(const routing_state& state, const owner_info& answering, errc code) {
+bool call_router::IsFinal(const routing_state& state, const open_call& open, errc code) {
   if (ShouldAskAgain(code)) return false;
-  return code == errc::kOk || answering.epoch >= state.owner.epoch;
+  // The process may know a newer owner only from an attempt, whose answer named no address.
+  return code == errc::kOk || open.target.epoch >= std::max(state.owner.epoch, open.newest_epoch);
 }
 
 void call_router::RetryLater(std::uint64_t id, effects& out) {
--- a/packages/control/src/call_router.h
+++ b/packages/control/src/call_router.h
@@ -78,6 +78,8 @@
     bool in_flight = false;
     // Target of the last attempt.
     owner_info target;
+    // Newest owner that an attempt was meant for.
+    std::uint64_t newest_epoch = 0;
   };
   struct routing_state {
     owner_info owner;
@@ -96,7 +98,7 @@
   void SendAttempt(routing_state& state, std::uint64_t id, effects& out);
   void SendAttemptTo(routing_state& state, std::uint64_t id, const owner_info& target,
                      effects& out);
-  static bool IsFinal(const routing_state& state, const owner_info& answering, errc code);
+  static bool IsFinal(const routing_state& state, const open_call& open, errc code);
   void OnAttemptDone(std::uint64_t id, const result<peer_answer>& outcome);
   void RetryLater(std::uint64_t id, effects& out);
   void Retry(std::uint64_t id);
--- a/packages/control/tests/call_router_test.cc
+++ b/packages/control/tests/call_router_test.cc
@@ -114,6 +114,27 @@
   }
 }
 
+// Guards against a refusal of an older owner that ends a call, if the newer owner is known from the
+// call alone: it names its epoch, but its own process has no address for the owner.
+TEST_CASE("An error of an owner older than one that was tried does not end a call") {
+  router_fixture played;
+  played.router.SetPeers({"new:1", "old:1"});
+  played.Submit();
+  played.NextSent().done(NotOwner({10, ""}, 10));
+  auto call = played.NextSent();
+  CHECK(call.address == "new:1");
+  CHECK(call.attempt.owner_epoch == 10);
+  call.done(errc::kTimeout);
+  call = played.NextSent();
+  CHECK(call.address == "old:1");
+  call.done(NotOwner({9, "old:1"}, 9));
+  call = played.NextSent();
+  CHECK(call.attempt.owner_epoch == 9);
+  call.done(ErrorAnswer(errc::kLogUnavailable));
+  played.Run(seconds(3));
+  CHECK(played.replies == std::vector{errc::kOutcomeUnknown});
+}
+
 // Guards against a call whose outcome is called unknown although no owner can have acted on it.
 TEST_CASE("A call that was sent to no owner is refused") {
   router_fixture played;
--- a/packages/control/tests/fake_store.cc
+++ b/packages/control/tests/fake_store.cc
@@ -322,6 +322,7 @@
     }
     if (!next.arrives) return;
     RunAfter(answer_delay + next.delay, [this, call, finish, next, target = found->second] {
+      if (next.delay > duration()) ++late_calls;
       target(call, [this, finish, next](const peer_answer& answer) {
         if (!next.answered) return;
         RunAfter(answer_delay, [answer, finish] { finish(answer); });
--- a/packages/control/tests/fake_store.h
+++ b/packages/control/tests/fake_store.h
@@ -88,6 +88,8 @@
   std::set<std::string> cut_off_from_peers;
   // By address of the receiver.
   std::map<std::string, link_fault> link_faults;
+  // Calls that arrived after a link had held them back.
+  std::uint32_t late_calls = 0;
   fake_hosts hosts;
   std::uint32_t appends = 0;
   std::uint32_t reads = 0;
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -421,8 +421,10 @@
   group.store.Run(milliseconds(1100));
   group.store.link_faults["p0:1"] = held_link{group.store.now + seconds(4), 1};
   CHECK(group.Call("p1", Job(2)) == errc::kLogUnavailable);
+  CHECK(group.store.late_calls == 0);
   group.store.available = true;
   group.store.Run(seconds(5));
+  CHECK(group.store.late_calls == 1);
   CHECK(group.Call("p1", job_state_call{1}) == errc::kOk);
   CHECK(group.Call("p1", job_state_call{2}) == errc::kUnknownJob);
   CHECK(group.store.hosts.LastStart(2) == time_point());
