control: a confirmation that the store refuses is sent again after 250 ms

A read that waits for a confirmation had an empty append sent every 20 ms while the store refused them at once, for example for their number. After a failure the next one waits for 250 ms. The check and the mark of an open confirmation are under one lock. The test of empty appends checks that records become durable.

--- a/packages/control/src/journal_writer.cc
+++ b/packages/control/src/journal_writer.cc
@@ -84,6 +84,7 @@
     if (stopped_) return;
     const bool due = port_.now() - confirmed_at_ >= options_.confirm_interval;
     if (!due || sending_ || confirming_) return ScheduleConfirmation();
+    confirming_ = true;
   }
   SendConfirmation();
   ScheduleConfirmation();
@@ -108,7 +109,9 @@
     const std::lock_guard lock(mutex_);
     wanted_confirmation_scheduled_ = !stopped_ && confirmed_at_ < confirmation_wanted_at_;
     if (!wanted_confirmation_scheduled_) return;
-    if (sending_ || confirming_) return ScheduleWantedConfirmation();
+    const bool paused = port_.now() < next_confirmation_at_;
+    if (sending_ || confirming_ || paused) return ScheduleWantedConfirmation();
+    confirming_ = true;
   }
   SendConfirmation();
   ScheduleWantedConfirmation();
@@ -118,10 +121,6 @@
 // at a time, and none beside an append of records: a store that is slow works on one after another.
 void journal_writer::SendConfirmation() {
   const time_point now = port_.now();
-  {
-    const std::lock_guard lock(mutex_);
-    confirming_ = true;
-  }
   port_.append(stream_name::kJournal, append_guard{options_.producer, epoch_, 0}, {},
                [self = shared_from_this(), now](const result<std::uint64_t>& outcome) {
                  self->OnConfirmation(outcome.code(), now);
@@ -132,6 +131,7 @@
   {
     const std::lock_guard lock(mutex_);
     confirming_ = false;
+    if (code != errc::kOk) next_confirmation_at_ = port_.now() + kConfirmationCheckInterval;
     if (stopped_ || (code != errc::kOk && code != errc::kStaleTerm)) return;
     if (code == errc::kOk) confirmed_at_ = std::max(confirmed_at_, sent);
     if (code == errc::kStaleTerm) stopped_ = true;
--- a/packages/control/src/journal_writer.h
+++ b/packages/control/src/journal_writer.h
@@ -102,6 +102,8 @@
   bool wanted_confirmation_scheduled_ = false;
   // An append without records has no answer yet.
   bool confirming_ = false;
+  // After a confirmation that failed, the next one is sent no earlier.
+  time_point next_confirmation_at_;
   time_point confirmed_at_;
   // Moving average of the time to an answer; zero before the first one.
   duration answer_time_{};
--- a/packages/control/tests/journal_writer_test.cc
+++ b/packages/control/tests/journal_writer_test.cc
@@ -126,10 +126,29 @@
       fixture.writer->Confirm();
       fixture.store.Run(milliseconds(100));
     }
+    fixture.store.Run(milliseconds(3000));
+    CHECK(fixture.durable == 50);
   }
   CHECK(most == 1);
 }
 
+// Guards against a store that refuses appends for their number, and gets more of them.
+TEST_CASE("A wanted confirmation that the store refuses is not sent again at once") {
+  journal_fixture fixture;
+  fixture.writer->Fence([](errc) {});
+  fixture.store.Run(milliseconds(100));
+  int refused = 0;
+  fixture.port.append = [&](stream_name, const std::optional<append_guard>&,
+                            const std::vector<stream_record>&, auto done) {
+    ++refused;
+    fixture.port.run_at(fixture.store.now + milliseconds(1), [done] { done(errc::kOverloaded); });
+  };
+  fixture.writer->Confirm();
+  fixture.store.Run(milliseconds(2000));
+  CHECK(refused > 1);
+  CHECK(refused <= 9);
+}
+
 // Guards against retries that add load to a store that is only slow.
 TEST_CASE("Appends to a slow store are not retried once its answer time is known") {
   journal_fixture fixture;
