control: a read that the store cannot confirm ends when its attempt is given up

In an outage each read of an unknown job is attempted anew every 1.2 s, and the owner kept every attempt until the store was back. It ends an attempt with not_ready after 1.2 s now, when its sender has given it up. The test gets no answer without the change.

--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -140,6 +140,22 @@
   s.open_calls.erase(found);
 }
 
+// Ends reads that the store has not confirmed, as their senders have given up the attempt.
+void cell_owner::EndUnconfirmedReads(state& s, effects& out) {
+  const time_point now = port_.now();
+  std::erase_if(s.unconfirmed_answers, [&](const cell::answer_call& answer) {
+    const auto found = s.open_calls.find(answer.call);
+    if (found != s.open_calls.end()) {
+      if (now - found->second.arrived < kAttemptTimeout) return false;
+      out.push_back({s.epoch, std::nullopt, [reply = std::move(found->second.reply)] {
+                       reply(ErrorAnswer(errc::kNotReady));
+                     }});
+      s.open_calls.erase(found);
+    }
+    return true;
+  });
+}
+
 void cell_owner::OnMembers(owner_candidacy candidacy, time_point requested_at) {
   Update([&](state& s, effects& out) {
     if (s.retired) return;
@@ -561,6 +577,7 @@
   Update([&](state& s, effects& out) {
     if (!s.HasBegun() || s.epoch != epoch) return;
     s.last_tick = now;
+    EndUnconfirmedReads(s, out);
     s.longest_tick_delay = std::max(s.longest_tick_delay, now - due);
     s.scheduler->Tick(now, port_.wall_ms());
     if (s.journal->OldestAppendAge(now) >= kStalledAppendLimit &&
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -476,6 +476,23 @@
   CHECK(group.Call("p0", job_state_call{1}) == errc::kOk);
 }
 
+// Guards against reads that pile up in an outage: each is attempted anew every 1.2 s.
+TEST_CASE("A read that the store cannot confirm ends when its attempt is given up") {
+  cluster group(1);
+  group.store.Run(seconds(3));
+  REQUIRE(group.OwnerName() == "p0");
+  group.store.available = false;
+  routed_call read;
+  read.attempt.owner_epoch = group.nodes["p0"]->Summary().owner.epoch;
+  read.call = job_state_call{1};
+  errc code = errc::kInternal;
+  group.nodes["p0"]->OnPeerCall(read, [&code](const peer_answer& given) { code = given.code; });
+  group.store.Run(seconds(1));
+  CHECK(code == errc::kInternal);
+  group.store.Run(milliseconds(500));
+  CHECK(code == errc::kNotReady);
+}
+
 // Guards against an older configuration replacing a newer one, and against applying a malformed
 // one.
 TEST_CASE("Versions of the configuration only rise") {
