--- a/packages/control/src/decision_log.cc
+++ b/packages/control/src/decision_log.cc
@@ -140,9 +140,9 @@
 }
 
 void decision_log::WriteLate(const routed_call& call, duration age, errc outcome) const {
-  const std::string subject = SubjectOf(call.call);
-  Write(event_number::kCallLate, {{"subject", std::string_view(subject)},
-                                  {"sender", std::string_view(call.attempt.sender)},
+  const std::string job = SubjectOf(call.call);
+  Write(event_number::kCallLate, {{"subject", std::string_view(call.attempt.sender)},
+                                  {"job", std::string_view(job)},
                                   {"attempt", std::uint64_t{call.attempt.number}},
                                   {"outcome", ErrorName(outcome)},
                                   {"after_ms", Milliseconds(age)}});
