control: names of an attempt's numbers, views in the register. No functional change

call_number and attempt_number instead of call and number, as a routed call has a call as well; senders are looked up by view.

--- a/packages/control/include/sycamorehinge/control/calls.h
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -42,10 +42,9 @@
   std::uint64_t owner_epoch = 0;
   // Identifies the sending process among all processes and their restarts.
   std::string sender;
-  // Number of the call among those of the sender, and of the attempt among those of the call, from
-  // 1.
-  std::uint64_t call = 0;
-  std::uint32_t number = 0;
+  // Both count from 1: the calls of the sender, and the attempts of this call.
+  std::uint64_t call_number = 0;
+  std::uint32_t attempt_number = 0;
   // All calls of the sender with lower numbers have ended.
   std::uint64_t oldest_open_call = 0;
   // Wall clock of the sender when it sent the attempt; for the log only, since clocks differ.
--- a/packages/control/src/attempt_register.h
+++ b/packages/control/src/attempt_register.h
@@ -5,8 +5,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "sycamorehinge/control/calls.h"
 
@@ -30,9 +32,9 @@
     // Value of `admissions_` at the last attempt.
     std::uint64_t last_used = 0;
   };
-  sender& SenderOf(const std::string& name);
+  sender& SenderOf(std::string_view name);
 
-  std::map<std::string, sender> senders_;
+  std::map<std::string, sender, std::less<>> senders_;
   std::uint64_t admissions_ = 0;
 };
 
--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -123,10 +123,10 @@
 }
 
 // An error of an owner older than the newest known one does not end a call: it does not know which
-// calls the newer one has taken. The owner itself knows what earlier owners took, from the journal.
+// calls the newer one has taken. The newest owner knows what earlier ones took, from the journal. A
+// call may know a newer owner than the router, if the owner named no address.
 bool call_router::IsFinal(const routing_state& state, const open_call& open, errc code) {
   if (ShouldAskAgain(code)) return false;
-  // The process may know a newer owner only from an attempt, whose answer named no address.
   return code == errc::kOk || open.target.epoch >= std::max(state.owner.epoch, open.newest_epoch);
 }
 
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -86,7 +86,7 @@
 }
 template <class Archive>
 void serialize(Archive& archive, call_attempt& value) {
-  SerializeFields(archive, value.owner_epoch, value.sender, value.call, value.number,
+  SerializeFields(archive, value.owner_epoch, value.sender, value.call_number, value.attempt_number,
                   value.oldest_open_call, value.sent_ms);
 }
 template <class Archive>
--- a/packages/control/src/decision_log.cc
+++ b/packages/control/src/decision_log.cc
@@ -143,7 +143,7 @@
   const std::string job = SubjectOf(call.call);
   Write(event_number::kCallLate, {{"subject", std::string_view(call.attempt.sender)},
                                   {"job", std::string_view(job)},
-                                  {"attempt", std::uint64_t{call.attempt.number}},
+                                  {"attempt", std::uint64_t{call.attempt.attempt_number}},
                                   {"outcome", ErrorName(outcome)},
                                   {"after_ms", Milliseconds(age)}});
 }
--- a/packages/control/tests/attempt_register_test.cc
+++ b/packages/control/tests/attempt_register_test.cc
@@ -5,12 +5,12 @@
 namespace sycamorehinge::control {
 namespace {
 
-call_attempt Attempt(const std::string& sender, std::uint64_t call, std::uint32_t number,
+call_attempt Attempt(std::string_view sender, std::uint64_t call, std::uint32_t number,
                      std::uint64_t oldest_open_call = 1) {
   call_attempt attempt;
   attempt.sender = sender;
-  attempt.call = call;
-  attempt.number = number;
+  attempt.call_number = call;
+  attempt.attempt_number = number;
   attempt.oldest_open_call = oldest_open_call;
   return attempt;
 }
--- a/packages/control/tests/codec_test.cc
+++ b/packages/control/tests/codec_test.cc
@@ -37,8 +37,8 @@
   const auto& routed = std::get<routed_call>(*call);
   CHECK(routed.attempt.owner_epoch == 8);
   CHECK(routed.attempt.sender == "10.0.0.1:1/5/6");
-  CHECK(routed.attempt.call == 3);
-  CHECK(routed.attempt.number == 2);
+  CHECK(routed.attempt.call_number == 3);
+  CHECK(routed.attempt.attempt_number == 2);
   CHECK(routed.attempt.oldest_open_call == 1);
   CHECK(routed.attempt.sent_ms == 77);
   const auto& submit = std::get<submit_call>(routed.call);
