--- a/packages/control/include/sycamorehinge/control/control_node.h
+++ b/packages/control/include/sycamorehinge/control/control_node.h
@@ -60,6 +60,8 @@
 
  private:
   void RecordMetrics(const cell::log_decision& decision) const;
+  void WriteEnded(event_number number, const cell_call& call, errc code, duration held,
+                  const owner_info& owner) const;
 
   control_observer observer_;
 };
--- a/packages/control/src/decision_log.cc
+++ b/packages/control/src/decision_log.cc
@@ -121,22 +121,22 @@
 
 void decision_log::WriteUnanswered(const cell_call& call, errc code, duration held,
                                    const owner_info& known) const {
-  const std::string subject = SubjectOf(call);
-  Write(event_number::kCallUnanswered, {{"subject", std::string_view(subject)},
-                                        {"error", ErrorName(code)},
-                                        {"held_ms", Milliseconds(held)},
-                                        {"owner", std::string_view(known.address)},
-                                        {"epoch", known.epoch}});
+  WriteEnded(event_number::kCallUnanswered, call, code, held, known);
 }
 
 void decision_log::WriteRefused(const cell_call& call, errc code, duration held,
                                 const owner_info& owner) const {
+  WriteEnded(event_number::kCallRefused, call, code, held, owner);
+}
+
+void decision_log::WriteEnded(event_number number, const cell_call& call, errc code, duration held,
+                              const owner_info& owner) const {
   const std::string subject = SubjectOf(call);
-  Write(event_number::kCallRefused, {{"subject", std::string_view(subject)},
-                                     {"error", ErrorName(code)},
-                                     {"held_ms", Milliseconds(held)},
-                                     {"owner", std::string_view(owner.address)},
-                                     {"epoch", owner.epoch}});
+  Write(number, {{"subject", std::string_view(subject)},
+                 {"error", ErrorName(code)},
+                 {"held_ms", Milliseconds(held)},
+                 {"owner", std::string_view(owner.address)},
+                 {"epoch", owner.epoch}});
 }
 
 void decision_log::WriteLate(const routed_call& call, duration age, errc outcome) const {
