review: case 7, no process knows the owner after an outage of the store

Cause: the router of a process forgets the address of the owner when the owner answers that a read is not confirmed, the owner's own router too, and nothing tells it again once all have forgotten it.

The stand-ins get a policy service and take ports outside the range of outgoing connections.

--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -39,14 +39,17 @@
 
 
 def free_ports(count):
-    sockets = []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind(("127.0.0.1", 0))
-        sockets.append(s)
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Ports below the range that the system gives to outgoing channels."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 30000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -361,6 +364,53 @@
         return reply(200, parts=rows)
 
 
+# --- the policy service ---
+
+class Policy:
+    """Approves every executor. It handles one call at a time for each process, which it knows by
+    the port that the process calls."""
+
+    DECISION_MS, PER_WORKER_MS, VALIDITY_MS = 58.0, 0.82, 2000.0
+    MOST_WAITING = 32
+
+    def __init__(self):
+        self.tickets = {}
+        self.servers = []
+        self.calls = []
+
+    async def add_process(self):
+        lock = asyncio.Lock()
+        row = {"waiting": 0, "handled": 0}
+        self.calls.append(row)
+
+        async def handle(method, path, query, headers, body):
+            call = json.loads(body)
+            if row["waiting"] >= self.MOST_WAITING:
+                return reply(429)
+            row["waiting"] += 1
+            async with lock:
+                row["waiting"] -= 1
+                await asyncio.sleep((self.DECISION_MS +
+                                     self.PER_WORKER_MS * len(call["workers"])) / 1000)
+            row["handled"] += 1
+            approved = []
+            for worker in call["workers"]:
+                ticket = f"t{len(self.tickets)}"
+                self.tickets[ticket] = (call["step"], worker, time.monotonic())
+                approved.append([worker, ticket])
+            return reply(200, approved=approved)
+
+        server = HttpServer(handle)
+        await server.start()
+        self.servers.append(server)
+        return f"127.0.0.1:{server.port}"
+
+    def holds(self, ticket, task, worker):
+        step, issued_for, at = self.tickets.get(ticket, ("", "", 0.0))
+        return (issued_for == worker and task.startswith(step + ".") and
+                time.monotonic() - at <= self.VALIDITY_MS / 1000)
+
+
 # --- executors ---
 
 class Task:
@@ -501,6 +551,9 @@
         if call["deadline_ms"] <= self.clock():
             return reply(409, reason="late", clock_ms=self.clock(), born=self.born)
         self.extend(call)
+        policy = self.world.policy
+        if policy and not policy.holds(call.get("ticket", ""), name, self.id):
+            return reply(409, reason="ticket", clock_ms=self.clock(), born=self.born)
         seconds, how = self.plan(name, run)
         task = Task(name, run, call["task_spec"], call.get("checkpoint", ""), seconds, None)
         task.entry = {"executor": self.label, "name": name, "run": run, "begin": time.monotonic(),
@@ -575,6 +628,7 @@
         self.front, self.ready, self.control, self.peer = free_ports(4)
         self.process = None
         self.log = None
+        self.advice = ""
 
     @property
     def address(self):
@@ -594,7 +648,7 @@
             "data_dir": None, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1500,
             "contracts": ["base", "drain", "config", "cost", "recover", "sched", "platform"],
             "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": BOUNDS,
-            "orders": "call", "advice": "",
+            "orders": "call", "advice": self.advice,
             "platform": {"address": f"127.0.0.1:{self.world.store.server.port}", "form": "log",
                          "writes_per_s": 600, "reads_per_s": 2000, "parts": 8, "append_ms": 4.0,
                          "partition_mb_s": 20.0, "read_mb_s": 80.0, "record_bytes": 262144,
@@ -603,6 +657,8 @@
         }
 
     async def start(self):
+        if self.world.policy and not self.advice:
+            self.advice = await self.world.policy.add_process()
         path = self.world.folder / f"{self.name}.json"
         path.write_text(json.dumps(self.settings()))
         self.log = open(self.world.folder / f"{self.name}.log", "ab")
@@ -645,6 +701,8 @@
         self.node_count = nodes
         self.nodes = []
         self.background = []
+        # Set before the start: every queue then needs its approval.
+        self.policy = None
         self.command = self.read_command()
 
     @staticmethod
@@ -660,6 +718,11 @@
         routes = [{"name": name, "host": self.HOST, "path_prefix": f"/{name}/", "service": service,
                    "priority": 0, "max_attempts": 4, "stretch": 1.5, "target_latency_ms": 600,
                    "timeout_ms": timeout_ms} for name, service in queues]
+        if self.policy:
+            for route in routes:
+                route["advice"] = {"decision_ms": Policy.DECISION_MS,
+                                   "per_worker_ms": Policy.PER_WORKER_MS,
+                                   "validity_ms": Policy.VALIDITY_MS}
         services = sorted({service for _, service in queues})
         return {"version": version, "routes": routes,
                 "services": [{"name": name, "enforces_capacity": False} for name in services],
@@ -779,6 +842,8 @@
             task.cancel()
         for executor in self.executors:
             executor.server.stop()
+        for server in self.policy.servers if self.policy else []:
+            server.stop()
         self.store.server.stop()
         self.record.close()
         keep = os.environ.get("KEEP_LOGS")
