--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -694,6 +694,7 @@
     HOST = "orders.example"
 
     def __init__(self, folder, nodes=3):
+        self.command = self.read_command()
         self.record = Record(pathlib.Path(folder) / "record.txt")
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="sycamorehinge-review-"))
         self.store = Store(self.record)
@@ -703,7 +704,6 @@
         self.background = []
         # Set before the start: every queue then needs its approval.
         self.policy = None
-        self.command = self.read_command()
 
     @staticmethod
     def read_command():
