control: owners are chosen by the list and the newest claim alone

What callers saw: an owner was paused and replaced, and 9 s later the next one was lost.

Cause: the listed member with the newest claim is preferred, by the claims that each process remembers, and these differ. A superseded owner erased its own claim from its memory, the others kept it; a process that restarts reads only the newest claim. Evidence: the logs of the case, where the two processes left prefer each other (owner_preferred) and nobody claims.

Change: only the newest claim counts, which the directory keeps for all to read. If its process is not listed, rank and name decide. A superseded owner still claims nothing before it has read a claim newer than its own, as wanted.

--- a/packages/control/src/membership.cc
+++ b/packages/control/src/membership.cc
@@ -26,8 +26,6 @@
 // When partitions move between members, one that lives may hold none for a moment.
 constexpr duration kBriefGap = std::chrono::milliseconds(300);
 constexpr duration kReadInGapDelay = std::chrono::milliseconds(150);
-// Claims of more processes than this are of no use: few are listed.
-constexpr std::size_t kMaxClaims = 64;
 
 bool IsBetter(const member_info& a, const member_info& b) {
   return std::tie(a.rank, a.name) < std::tie(b.rank, b.name);
@@ -215,26 +213,12 @@
 
 // Returns false while the claim of the owner that fenced this process has not been read.
 bool membership::KnowsNewestClaim() const {
-  return superseded_epoch_ == 0 ||
-         std::any_of(claims_.begin(), claims_.end(),
-                     [this](const auto& row) { return row.second > superseded_epoch_; });
-}
-
-// Returns the listed member with the newest claim; empty if there is none.
-std::string membership::OwnerAmong(const std::vector<member_info>& members) const {
-  std::string owner;
-  std::uint64_t newest = 0;
-  for (const auto& [name, epoch] : claims_) {
-    if (epoch <= newest || !Lists(members, name)) continue;
-    owner = name;
-    newest = epoch;
-  }
-  return owner;
+  return superseded_epoch_ == 0 || newest_claim_.epoch > superseded_epoch_;
 }
 
 // Returns whether the preferred owner has been missing from the list only for a moment.
 bool membership::IsBriefGap(const std::string& owner, bool listed) {
-  if (listed || owner.empty() || !claims_.contains(owner)) {
+  if (listed || owner.empty() || owner != newest_claim_.member) {
     missing_since_ = {};
     return false;
   }
@@ -245,17 +229,18 @@
   return true;
 }
 
+// The choice depends on the list and the newest claim only, which all processes read alike. Earlier
+// claims do not count: processes remember different ones, and would wait for each other.
 owner_candidacy membership::Evaluate(const std::vector<member_info>& members, std::string& best) {
   const time_point now = port_.now();
   const std::string own = FormatMemberName(self_);
   const bool offer_active = now < offer_ends_;
-  const std::string owner = OwnerAmong(members);
   const member_info* preferred = nullptr;
   bool best_owns = false;
   for (const member_info& member : members) {
     const std::string name = FormatMemberName(member);
     if (offer_active && name == offered_by_) continue;
-    const bool owns = name == owner;
+    const bool owns = name == newest_claim_.member;
     if (!preferred || std::tuple(member.rank, !owns, member.name) <
                           std::tuple(preferred->rank, !best_owns, preferred->name)) {
       preferred = &member;
@@ -269,7 +254,8 @@
     return owner_candidacy::kOther;
   }
   if (!Lists(members, own)) return owner_candidacy::kUnlisted;
-  const bool may_own = own == owner || (now >= earliest_claim_ && KnowsNewestClaim());
+  const bool may_own =
+      KnowsNewestClaim() && (own == newest_claim_.member || now >= earliest_claim_);
   return may_own && best == own ? owner_candidacy::kPreferred : owner_candidacy::kOther;
 }
 
@@ -325,19 +311,12 @@
 
 void membership::OnClaim(const std::string& member, std::uint64_t epoch) {
   const std::lock_guard lock(mutex_);
-  std::uint64_t& known = claims_[member];
-  known = std::max(known, epoch);
-  if (claims_.size() <= kMaxClaims) return;
-  const auto epoch_of = [](const auto& a, const auto& b) { return a.second < b.second; };
-  claims_.erase(std::min_element(claims_.begin(), claims_.end(), epoch_of));
+  if (epoch > newest_claim_.epoch) newest_claim_ = {epoch, member};
 }
 
 void membership::YieldCell(std::uint64_t epoch) {
   const std::lock_guard lock(mutex_);
   superseded_epoch_ = std::max(superseded_epoch_, epoch);
-  // Its own claim may be the newest one that it knows, but it is not the newest.
-  const auto claim = claims_.find(FormatMemberName(self_));
-  if (claim != claims_.end() && claim->second <= superseded_epoch_) claims_.erase(claim);
   earliest_claim_ = port_.now() + options_.join_interval * kRejoinIntervals;
 }
 
--- a/packages/control/src/membership.h
+++ b/packages/control/src/membership.h
@@ -11,7 +11,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -78,7 +77,6 @@
   bool ShouldBeCandidate(const std::vector<member_info>& members) const;
   owner_candidacy Evaluate(const std::vector<member_info>& members, std::string& best);
   bool KnowsNewestClaim() const;
-  std::string OwnerAmong(const std::vector<member_info>& members) const;
   bool IsBriefGap(const std::string& owner, bool listed);
   std::string_view CauseOfChange(const std::vector<member_info>& members) const;
   void SendOffer();
@@ -102,8 +100,13 @@
   std::vector<member_info> members_;
   // Name of the preferred member in the last list.
   std::string preferred_;
-  // Newest claim of each process.
-  std::map<std::string, std::uint64_t> claims_;
+  struct claim {
+    std::uint64_t epoch = 0;
+    // Name of the claimant; empty if no claim is known.
+    std::string member;
+  };
+  // Newest claim in the directory, of this process or another one.
+  claim newest_claim_;
   // Since when the preferred owner has been missing from the list; zero if it is listed.
   time_point missing_since_;
   // Owner that offered the cell; it is not preferred until the offer ends.
--- a/packages/control/tests/cluster.h
+++ b/packages/control/tests/cluster.h
@@ -48,6 +48,11 @@
     store.peers.erase(machine + ":1");
     nodes.at(process)->Drain();
   }
+  // Pauses the process for a time, as SIGSTOP and SIGCONT would.
+  void Pause(const std::string& process, const std::string& machine, duration time) {
+    store.paused_until[process] = store.now + time;
+    store.paused_until[machine + ":1"] = store.now + time;
+  }
   std::string OwnerName() const {
     std::string owner;
     for (const auto& [name, node] : nodes) {
--- a/packages/control/tests/fake_store.cc
+++ b/packages/control/tests/fake_store.cc
@@ -18,6 +18,16 @@
   timers_.emplace(now + delay, std::move(task));
 }
 
+void fake_store::RunOn(const std::string& process, duration delay, std::function<void()> task) {
+  const auto run = [this, process, task = std::move(task)] {
+    const auto found = paused_until.find(process);
+    if (found == paused_until.end() || found->second <= now) return task();
+    RunOn(process, found->second - now, task);
+  };
+  if (delay == duration::zero()) return run();
+  RunAfter(delay, run);
+}
+
 void fake_store::Run(duration time) {
   const time_point end = now + time;
   while (now < end) {
@@ -148,8 +158,8 @@
   port.wall_ms = [this] {
     return 1'800'000'000'000 + (now + wall_offset).time_since_epoch().count() / 1000;
   };
-  port.run_at = [this](time_point when, std::function<void()> task) {
-    timers_.emplace(std::max(when, now + kTick), std::move(task));
+  port.run_at = [this, process](time_point when, std::function<void()> task) {
+    RunOn(process, std::max(when - now, kTick), std::move(task));
   };
   AddStreams(port, process);
   AddGroup(port, process);
@@ -160,8 +170,10 @@
 }
 
 void fake_store::AddStreams(ports& port, const std::string& process) {
-  port.read = [this, process](stream_name name, const read_position& position, auto done) {
+  port.read = [this, process](stream_name name, const read_position& position,
+                              completion<stream_page> answer) {
     ++reads;
+    const auto done = OnResume(process, std::move(answer));
     const auto* from = std::get_if<from_offset>(&position);
     const duration wait = from ? from->wait : duration();
     if (!IsReachable(process)) return RunAfter(kTimeout, [done] { done(errc::kTimeout); });
@@ -172,8 +184,10 @@
              [this, name, position, done] { done(Read(name, position)); });
   };
   port.append = [this, process](stream_name name, const std::optional<append_guard>& guard,
-                                const std::vector<stream_record>& records, auto done) {
+                                const std::vector<stream_record>& records,
+                                completion<std::uint64_t> answer) {
     ++appends;
+    const auto done = OnResume(process, std::move(answer));
     if (!IsReachable(process)) return RunAfter(kTimeout, [done] { done(errc::kTimeout); });
     const bool lost = drop_answers || drop_next_answers > 0;
     if (drop_next_answers > 0) --drop_next_answers;
@@ -187,7 +201,8 @@
 
 void fake_store::AddGroup(ports& port, const std::string& process) {
   port.join = [this, process](std::string_view member, std::uint64_t generation, duration ttl,
-                              auto done) {
+                              completion<std::uint64_t> answer) {
+    const auto done = OnResume(process, std::move(answer));
     if (!IsReachable(process)) return RunAfter(kTimeout, [done] { done(errc::kTimeout); });
     const duration delay = answer_delay + join_delays[process];
     RunAfter(delay, [this, name = std::string(member), process, generation, ttl, done] {
@@ -202,7 +217,8 @@
       done(generation_);
     });
   };
-  port.connect_time = [this, process](auto done) {
+  port.connect_time = [this, process](completion<duration> answer) {
+    const auto done = OnResume(process, std::move(answer));
     if (!IsReachable(process)) return RunAfter(kTimeout, [done] { done(errc::kTimeout); });
     const auto link = connect_times.find(process);
     const duration time = link == connect_times.end() ? kTick : link->second;
@@ -215,7 +231,8 @@
       done();
     });
   };
-  port.members = [this, process](auto done) {
+  port.members = [this, process](completion<std::vector<std::string>> answer) {
+    const auto done = OnResume(process, std::move(answer));
     if (!IsReachable(process)) return RunAfter(kTimeout, [done] { done(errc::kTimeout); });
     RunAfter(answer_delay, [this, done] {
       std::set<std::string> names;
@@ -258,20 +275,20 @@
     cell::host_report report;
     const auto outcome =
         fenced ? cell::call_outcome::kFenced : hosts.Poll(process, poll, now, report);
-    RunAfter(outcome == cell::call_outcome::kNoAnswer ? kTimeout : answer_delay,
-             [done, outcome, report] {
-               done(outcome, outcome == cell::call_outcome::kDone ? &report : nullptr);
-             });
+    RunOn(process, outcome == cell::call_outcome::kNoAnswer ? kTimeout : answer_delay,
+          [done, outcome, report] {
+            done(outcome, outcome == cell::call_outcome::kDone ? &report : nullptr);
+          });
   };
   port.start_task = [this, process](const cell::start_task& start, auto done) {
     const cell::start_report report = hosts.Start(process, start, now);
-    RunAfter(report.outcome == cell::call_outcome::kNoAnswer ? kTimeout : answer_delay,
-             [done, report] { done(report); });
+    RunOn(process, report.outcome == cell::call_outcome::kNoAnswer ? kTimeout : answer_delay,
+          [done, report] { done(report); });
   };
   port.stop_task = [this, process](const cell::stop_task& stop, auto done) {
     const cell::call_outcome outcome = hosts.Stop(process, stop, now);
-    RunAfter(outcome == cell::call_outcome::kNoAnswer ? kTimeout : answer_delay,
-             [done, outcome] { done(outcome); });
+    RunOn(process, outcome == cell::call_outcome::kNoAnswer ? kTimeout : answer_delay,
+          [done, outcome] { done(outcome); });
   };
   port.throttle_task = [](const cell::throttle_task&, auto) {};
   port.advise = [](const cell::task_ref&, const std::vector<host_id>&, duration, auto) {};
@@ -299,7 +316,8 @@
 
 void fake_store::AddPeers(ports& port, const std::string& process) {
   port.call_peer = [this, process](std::string_view address, const peer_call& call,
-                                   duration timeout, auto done) {
+                                   duration timeout, completion<peer_answer> answer) {
+    const auto done = OnResume(process, std::move(answer));
     if (crashed.contains(process)) return;
     if (IsCutOffFromPeers(process, address)) {
       return RunAfter(kTimeout, [done] { done(errc::kTimeout); });
@@ -321,13 +339,19 @@
       RunAfter(answer_delay, [finish] { finish({errc::kConnectionFailed, "connection reset"}); });
     }
     if (!next.arrives) return;
-    RunAfter(answer_delay + next.delay, [this, call, finish, next, target = found->second] {
-      if (next.delay > duration()) ++late_calls;
-      target(call, [this, finish, next](const peer_answer& answer) {
-        if (!next.answered) return;
-        RunAfter(answer_delay, [answer, finish] { finish(answer); });
-      });
-    });
+    const std::string receiver(address);
+    RunOn(receiver, answer_delay + next.delay,
+          [this, receiver, call, finish, next, target = found->second] {
+            if (next.delay > duration()) ++late_calls;
+            target(call, [this, receiver, call, finish, next](const peer_answer& reply) {
+              const auto* announcement = std::get_if<announce_call>(&call);
+              if (announcement && reply.code == errc::kOk) {
+                announced[{receiver, announcement->member}] = now;
+              }
+              if (!next.answered) return;
+              RunAfter(answer_delay, [reply, finish] { finish(reply); });
+            });
+          });
   };
 }
 
--- a/packages/control/tests/fake_store.h
+++ b/packages/control/tests/fake_store.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -86,6 +87,12 @@
   std::map<std::string, peer> peers;
   // Processes that no call of another process reaches, and whose calls reach none.
   std::set<std::string> cut_off_from_peers;
+  // Processes, and addresses for calls between processes, that are paused until the given time.
+  // What a paused process sent before takes effect; its timers and answers, and calls to it, wait.
+  std::map<std::string, time_point> paused_until;
+  // Time of the last announcement that the process at an address has answered with kOk, by that
+  // address and the name of the sender.
+  std::map<std::pair<std::string, std::string>, time_point> announced;
   // By address of the receiver.
   std::map<std::string, link_fault> link_faults;
   // Calls that arrived after a link had held them back.
@@ -119,6 +126,16 @@
   };
   delivery NextDelivery(const std::string& address);
   void RunAfter(duration delay, std::function<void()> task);
+  // Runs the task after the delay, and not while `process` is paused.
+  void RunOn(const std::string& process, duration delay, std::function<void()> task);
+  // Returns `done` for a process, which gets an answer only while it is not paused.
+  template <class Answer>
+  std::function<void(Answer)> OnResume(const std::string& process,
+                                       std::function<void(Answer)> done) {
+    return [this, process, done = std::move(done)](Answer answer) {
+      RunOn(process, {}, [done, answer] { done(answer); });
+    };
+  }
   result<std::uint64_t> Append(stream_name name, const std::optional<append_guard>& guard,
                                const std::vector<stream_record>& records);
   result<stream_page> Read(stream_name name, const read_position& position) const;
