control: the router keeps the owner's address until there is a newer owner

Cause: the router erased the owner's address with each answer that did not end a call. The owner ends reads that the store cannot confirm as not ready, so all processes forgot it, its own too, and only a new claim names it again. Without an address no process announces itself, and the owner alone asks the policy service.

Change: the newest owner stays known. A call that it does not end asks a peer, then the owner again. That it does not answer is kept beside the address (events 8024, 8025): calls ask the peers only, and an announcement is sent at once to find out. ForgetOwner goes.

--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -59,8 +59,12 @@
 }
 
 void call_router::SendAttempt(routing_state& state, std::uint64_t id, effects& out) {
-  if (!state.owner.address.empty()) return SendAttemptTo(state, id, state.owner, out);
-  if (state.peers.empty()) return RetryLater(id, out);
+  const bool ask_peer = std::exchange(state.calls.at(id).ask_peer, false) || state.owner_silent;
+  const bool owner_known = !state.owner.address.empty();
+  if (owner_known && (!ask_peer || state.peers.empty())) {
+    return SendAttemptTo(state, id, state.owner, out);
+  }
+  if (state.peers.empty()) return RetryLater(state, id, out);
   // A peer names the owner that it knows, or itself, in its answer.
   SendAttemptTo(state, id, {0, state.peers[state.next_peer++ % state.peers.size()]}, out);
 }
@@ -90,12 +94,13 @@
 void call_router::OnAttemptDone(std::uint64_t id, const result<peer_answer>& outcome) {
   const time_point now = port_.now();
   Update([&](routing_state& state, effects& out) {
+    const bool learned = outcome && UpdateOwner(state, outcome->owner, out);
     const auto found = state.calls.find(id);
-    bool learned = false;
-    if (outcome) learned = UpdateOwner(state, outcome->owner, out);
     if (found == state.calls.end()) return;
     open_call& open = found->second;
     open.in_flight = false;
+    const bool asked_owner = open.target.address == state.owner.address;
+    if (asked_owner) SetOwnerSilent(state, !outcome, out);
     if (outcome && IsFinal(state, open, outcome->code)) {
       state.failing_since = time_point::max();
       ReportRefusal(open, outcome->code, out);
@@ -111,14 +116,17 @@
       return SendAttemptTo(state, id, {outcome->acting_epoch, open.target.address}, out);
     }
     if (learned) return SendAttempt(state, id, out);
-    // The supposed owner may be down or may have lost the cell, and without a connection to the
-    // store it knows no newer owner: ask the peers next.
-    if (open.target.address == state.owner.address) state.owner.address.clear();
     if (!open.may_have_effect && !IsRead(*open.call) &&
         now - open.arrived > options_.unsent_hold_limit) {
       return Refuse(state, id, errc::kNotReady, out);
     }
-    RetryLater(id, out);
+    // The supposed owner may have lost the cell, and without a connection to the store it knows no
+    // newer owner, so a peer is asked before the owner is asked again.
+    open.ask_peer = asked_owner;
+    if (!asked_owner && !state.owner.address.empty() && !state.owner_silent) {
+      return SendAttempt(state, id, out);
+    }
+    RetryLater(state, id, out);
   });
 }
 
@@ -130,15 +138,17 @@
   return code == errc::kOk || open.target.epoch >= std::max(state.owner.epoch, open.newest_epoch);
 }
 
-void call_router::RetryLater(std::uint64_t id, effects& out) {
-  out.push_back(
-      [this, id] { port_.run_at(port_.now() + options_.retry_pause, [this, id] { Retry(id); }); });
+void call_router::RetryLater(const routing_state& state, std::uint64_t id, effects& out) {
+  out.push_back([this, id, attempts = state.calls.at(id).attempts] {
+    port_.run_at(port_.now() + options_.retry_pause, [this, id, attempts] { Retry(id, attempts); });
+  });
 }
 
-void call_router::Retry(std::uint64_t id) {
+void call_router::Retry(std::uint64_t id, std::uint32_t attempts) {
   Update([&](routing_state& state, effects& out) {
     const auto found = state.calls.find(id);
-    if (found != state.calls.end() && !found->second.in_flight) SendAttempt(state, id, out);
+    if (found == state.calls.end() || found->second.in_flight) return;
+    if (found->second.attempts == attempts) SendAttempt(state, id, out);
   });
 }
 
@@ -186,23 +196,29 @@
 }
 
 bool call_router::UpdateOwner(routing_state& state, const owner_info& owner, effects& out) {
-  const bool newer = owner.epoch > state.owner.epoch ||
-                     (owner.epoch == state.owner.epoch && state.owner.address.empty());
-  if (!newer || owner.address.empty()) return false;
+  if (owner.epoch <= state.owner.epoch || owner.address.empty()) return false;
   state.owner = owner;
-  for (const auto& [id, open] : state.calls) {
-    if (!open.in_flight) out.push_back([this, id = id] { Retry(id); });
+  state.owner_silent = false;
+  for (auto& [id, open] : state.calls) {
+    open.ask_peer = false;
+    if (open.in_flight) continue;
+    out.push_back([this, id = id, attempts = open.attempts] { Retry(id, attempts); });
   }
   return true;
 }
 
+void call_router::SetOwnerSilent(routing_state& state, bool silent, effects& out) {
+  if (std::exchange(state.owner_silent, silent) == silent) return;
+  out.push_back([this, silent, owner = state.owner] { handlers_.on_owner_silence(silent, owner); });
+}
+
 void call_router::LearnOwner(const owner_info& owner) {
   Update([&](routing_state& state, effects& out) { UpdateOwner(state, owner, out); });
 }
 
-void call_router::ForgetOwner(std::string_view address) {
-  Update([&](routing_state& state, effects&) {
-    if (state.owner.address == address) state.owner.address.clear();
+void call_router::OnOwnerAnswer(std::string_view address) {
+  Update([&](routing_state& state, effects& out) {
+    if (state.owner.address == address) SetOwnerSilent(state, false, out);
   });
 }
 
--- a/packages/control/src/call_router.h
+++ b/packages/control/src/call_router.h
@@ -45,6 +45,8 @@
   std::function<void(const cell_call&, errc, duration held, const owner_info&)> on_unanswered;
   // An owner refused a call, and an earlier attempt of the call got no answer.
   std::function<void(const cell_call&, errc, duration held, const owner_info&)> on_refused;
+  // The owner does not answer (true), or answers again.
+  std::function<void(bool silent, const owner_info&)> on_owner_silence;
 };
 
 class call_router {
@@ -55,10 +57,12 @@
   void Call(cell_call call, time_point deadline, peer_reply reply);
   // Sets the owner; an epoch older than the known one is ignored.
   void LearnOwner(const owner_info& owner);
-  // Clears the known owner if it has this address.
-  void ForgetOwner(std::string_view address);
+  // Reports that the process at the address has answered a message other than a call.
+  void OnOwnerAnswer(std::string_view address);
+  // Newest owner that this process knows, whether it answers or not. The epoch is 0 if none is
+  // known.
   owner_info Owner() const;
-  // Processes to ask for the owner while none is known.
+  // Processes to ask for a newer owner.
   void SetPeers(std::vector<std::string> addresses);
   std::size_t OpenCallCount() const;
   // Ends all open calls, and every later one at once, before the process exits.
@@ -76,13 +80,20 @@
     // An earlier attempt may have reached an owner that acted on it.
     bool may_have_effect = false;
     bool in_flight = false;
+    // The owner has not ended the last attempt, so a peer is asked next.
+    bool ask_peer = false;
     // Target of the last attempt.
     owner_info target;
     // Newest owner that an attempt was meant for.
     std::uint64_t newest_epoch = 0;
   };
   struct routing_state {
+    // Newest known owner. It stays known until there is a newer one, since no other message names
+    // it again.
     owner_info owner;
+    // The owner gave no answer to the last message. Calls ask the peers for a newer one meanwhile,
+    // since an attempt that may reach the owner cannot be refused.
+    bool owner_silent = false;
     std::vector<std::string> peers;
     std::size_t next_peer = 0;
     std::map<std::uint64_t, open_call> calls;
@@ -100,8 +111,9 @@
                      effects& out);
   static bool IsFinal(const routing_state& state, const open_call& open, errc code);
   void OnAttemptDone(std::uint64_t id, const result<peer_answer>& outcome);
-  void RetryLater(std::uint64_t id, effects& out);
-  void Retry(std::uint64_t id);
+  void RetryLater(const routing_state& state, std::uint64_t id, effects& out);
+  // Sends the next attempt unless there have been others than `attempts` meanwhile.
+  void Retry(std::uint64_t id, std::uint32_t attempts);
   void OnDeadline(std::uint64_t id);
   void Finish(routing_state& state, std::uint64_t id, peer_answer answer, effects& out);
   void Refuse(routing_state& state, std::uint64_t id, errc code, effects& out);
@@ -109,6 +121,7 @@
   void ReportRefusal(const open_call& open, errc code, effects& out);
   // True if `owner` is newer than the known one; retries waiting calls then.
   bool UpdateOwner(routing_state& state, const owner_info& owner, effects& out);
+  void SetOwnerSilent(routing_state& state, bool silent, effects& out);
 
   const ports& port_;
   const call_router_options options_;
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -420,7 +420,6 @@
     out.push_back({epoch, std::nullopt,
                    [reply = std::move(call.reply)] { reply(ErrorAnswer(errc::kOutcomeUnknown)); }});
   }
-  out.push_back({epoch, std::nullopt, hooks_.on_lost});
 }
 
 void cell_owner::Retire() {
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -33,7 +33,6 @@
     std::function<void(std::uint64_t epoch)> on_claimed;
     // Calls can be sent to this process.
     std::function<void(const owner_info&)> on_owned;
-    std::function<void()> on_lost;
     // A newer owner has fenced this process, which owned the cell under `epoch`.
     std::function<void(std::uint64_t epoch)> on_fenced;
     // Appends to the journal have had no success for some time.
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -30,7 +30,6 @@
               {[this] { return group->Name(); },
                [this](std::uint64_t epoch) { group->OnClaim(group->Name(), epoch); },
                [this](const owner_info& info) { router.LearnOwner(info); },
-               [this] { router.ForgetOwner(options.self.address); },
                [this](std::uint64_t epoch) { group->YieldCell(epoch); },
                [this] { group->OfferCell(); }}),
         router(
@@ -43,7 +42,8 @@
              },
              [this](const cell_call& call, errc code, duration held, const owner_info& refusing) {
                log.WriteRefused(call, code, held, refusing);
-             }}),
+             },
+             [this](bool silent, const owner_info& known) { OnOwnerSilence(silent, known); }}),
         group(std::make_shared<membership>(
             port, options.membership, options.self,
             membership_handlers{
@@ -101,13 +101,21 @@
                 [this] { AnnouncePeriodically(); });
     Announce();
   }
+  // An announcement finds out at once whether the owner is gone or one call was lost.
+  void OnOwnerSilence(bool silent, const owner_info& known) {
+    log.Write(silent ? event_number::kOwnerSilent : event_number::kOwnerAnswers,
+              {{"address", std::string_view(known.address)}, {"epoch", known.epoch}});
+    if (silent) Announce();
+  }
   void Announce() {
     const std::string address = router.Owner().address;
     if (leaving || address.empty() || address == options.self.address) return;
     port.call_peer(address, announce_call{group->Name()}, kAnnounceTimeout,
-                   [this](const result<peer_answer>& answer) {
-                     if (answer && answer->code == errc::kOk) owner_answered = true;
-                     if (answer) router.LearnOwner(answer->owner);
+                   [this, address](const result<peer_answer>& answer) {
+                     if (!answer) return;
+                     if (answer->code == errc::kOk) owner_answered = true;
+                     router.OnOwnerAnswer(address);
+                     router.LearnOwner(answer->owner);
                    });
   }
 
--- a/packages/control/tests/call_router_test.cc
+++ b/packages/control/tests/call_router_test.cc
@@ -21,14 +21,17 @@
   std::multimap<time_point, std::function<void()>> timers;
   std::deque<sent_call> sent;
   std::vector<errc> replies;
+  // Changes of the owner's silence.
+  std::vector<bool> silences;
   ports port;
   call_router router;
 
   router_fixture() : port(MakePorts()), router(port, {"self:1"}, MakeHandlers()) {}
 
-  static call_router_handlers MakeHandlers() {
+  call_router_handlers MakeHandlers() {
     const auto ignore = [](const cell_call&, errc, duration, const owner_info&) {};
-    return {{}, ignore, ignore};
+    return {
+        {}, ignore, ignore, [this](bool silent, const owner_info&) { silences.push_back(silent); }};
   }
 
   ports MakePorts() {
@@ -97,6 +100,7 @@
     CHECK(played.replies.empty());
     call = played.NextSent();
     call.done(NotOwner({9, "new:1"}));
+    played.router.OnOwnerAnswer("new:1");
     call = played.NextSent();
     CHECK(call.address == "new:1");
     CHECK(call.attempt.owner_epoch == 9);
@@ -169,5 +173,76 @@
   CHECK(played.replies == std::vector{errc::kOk});
 }
 
+// Guards against a process that does not know the owner any more because it answered a read with
+// "not ready", as it does in an outage of the store (review/7).
+TEST_CASE("The router keeps the owner that does not end a call") {
+  router_fixture played;
+  played.router.LearnOwner({9, "new:1"});
+  played.router.SetPeers({"peer:1"});
+  played.Submit();
+  auto call = played.NextSent();
+  SECTION("it answers without a result") {
+    call.done(ErrorAnswer(errc::kNotReady));
+    CHECK(played.silences.empty());
+    call = played.NextSent();
+    CHECK(call.address == "peer:1");
+    // The peer knows no newer owner.
+    call.done(NotOwner({9, "new:1"}));
+    CHECK(played.NextSent().address == "new:1");
+  }
+  SECTION("it does not answer") {
+    call.done(errc::kTimeout);
+    CHECK(played.silences == std::vector{true});
+  }
+  CHECK(played.router.Owner().address == "new:1");
+  CHECK(played.router.Owner().epoch == 9);
+}
+
+// Guards against calls that get an unknown outcome or wait for a timeout at an owner that is gone,
+// and against a process that does not use an owner that answers again.
+TEST_CASE("While the owner does not answer, calls ask the peers for a newer one") {
+  router_fixture played;
+  played.router.LearnOwner({9, "new:1"});
+  played.router.SetPeers({"peer:1"});
+  played.Submit();
+  played.NextSent().done(errc::kTimeout);
+  for (int i = 0; i < 3; ++i) {
+    auto call = played.NextSent();
+    CHECK(call.address == "peer:1");
+    CHECK(call.attempt.owner_epoch == 0);
+    call.done(NotOwner({9, "new:1"}));
+  }
+  SECTION("it answers an announcement") {
+    played.router.OnOwnerAnswer("new:1");
+    CHECK(played.silences == std::vector{true, false});
+    CHECK(played.NextSent().address == "new:1");
+  }
+  SECTION("there is a newer one") {
+    played.router.LearnOwner({10, "newest:1"});
+    CHECK(played.NextSent().address == "newest:1");
+  }
+}
+
+// Guards against calls that wake each other at the speed of a round trip while a claimant loads: a
+// peer that names an owner that is known already is no news to other calls.
+TEST_CASE("Calls that wait for a claimant do not wake each other") {
+  constexpr int kCalls = 5;
+  router_fixture played;
+  played.router.LearnOwner({9, "new:1"});
+  played.router.SetPeers({"peer:1", "peer:2"});
+  for (int i = 0; i < kCalls; ++i) played.Submit();
+  int sent = 0;
+  for (int i = 0; i < 1000; ++i) {
+    while (!played.sent.empty()) {
+      ++sent;
+      played.NextSent().done(NotOwner({9, "new:1"}));
+    }
+    played.Run(milliseconds(1));
+  }
+  // One attempt at a peer and one at the owner after each pause of 60 ms.
+  CHECK(sent <= kCalls * 2 * (1000 / 60 + 1));
+  CHECK(sent >= kCalls * 1000 / 60);
+}
+
 }  // namespace
 }  // namespace sycamorehinge::control
--- a/packages/control/tests/convergence_test.cc
+++ b/packages/control/tests/convergence_test.cc
@@ -1,6 +1,7 @@
 // Agreement on the owner: after any series of faults all processes know the same owner, and it
 // acts.
 #include <catch2/catch.hpp>
+#include <memory>
 
 #include "cluster.h"
 
@@ -13,6 +14,9 @@
 constexpr std::uint64_t kMaxFaults = 7;
 // Bound of the users for a recovery once the last fault has ended.
 constexpr duration kRecoveryLimit = seconds(12);
+// A live process announces itself more often.
+constexpr duration kAnnouncedWithin = seconds(4);
+constexpr duration kAnswerLimit = seconds(1);
 
 // One random history: faults that mostly strike the owner, one after the other or overlapping,
 // while callers ask every process for counts.
@@ -38,6 +42,23 @@
     for (const auto& [name, node] : group_.nodes) count += node->Summary().owns_cell ? 1 : 0;
     return count;
   }
+  // Processes that do not name the owner of the newest claim, have not announced themselves to it,
+  // or give no answer to a call.
+  std::size_t Strayed() {
+    const stream_record claim = store().Newest(stream_name::kDirectory).front();
+    const owner_info owner{claim.offset + 1, ParseMemberName(*claim.value)->address};
+    std::size_t strayed = 0;
+    for (const machine& row : machines_) {
+      if (!row.up) continue;
+      const owner_info known = group_.nodes.at(row.process)->Summary().owner;
+      const bool named = known.epoch == owner.epoch && known.address == owner.address;
+      const time_point announced = store().announced[{owner.address, MemberName(row.name)}];
+      const bool announces =
+          owner.address == row.name + ":1" || store().now - announced < kAnnouncedWithin;
+      if (!named || !announces || !IsAnswered(row)) ++strayed;
+    }
+    return strayed;
+  }
 
  private:
   static constexpr duration kLongestFault = seconds(6);
@@ -84,6 +105,14 @@
       store().Run(milliseconds(50));
     }
   }
+  bool IsAnswered(const machine& row) {
+    const auto code = std::make_shared<errc>(errc::kInternal);
+    group_.nodes.at(row.process)
+        ->Call(pending_jobs_call{"q"}, store().now + kAnswerLimit,
+               [code](const peer_answer& answer) { *code = answer.code; });
+    store().Run(kAnswerLimit + milliseconds(10));
+    return *code == errc::kOk;
+  }
 
   // The machine of the owner, three times of four.
   std::size_t Struck() {
@@ -179,14 +208,45 @@
   CHECK(group.OwnerName().size() >= 2);
 }
 
+// Guards against processes that forget the address of the owner in an outage of the store, in which
+// it answers no read: its own front then gave no answer, and no process announced itself
+// (review/7).
+TEST_CASE("After an outage of the store all processes know the owner and announce themselves") {
+  cluster group(3);
+  group.store.Run(seconds(3));
+  const std::string owner = group.OwnerName();
+  const auto ask = [&group](duration time) {
+    for (const time_point end = group.store.now + time; group.store.now < end;) {
+      for (const auto& [name, node] : group.nodes) {
+        node->Call(pending_jobs_call{"q"}, group.store.now + seconds(3), [](const peer_answer&) {});
+      }
+      group.store.Run(milliseconds(50));
+    }
+  };
+  group.store.available = false;
+  ask(milliseconds(4500));
+  group.store.available = true;
+  ask(seconds(5));
+  for (const auto& [name, node] : group.nodes) {
+    CAPTURE(name);
+    CHECK(node->Summary().owner.address == owner + ":1");
+    CHECK(group.Call(name, pending_jobs_call{"q"}, milliseconds(200)) == errc::kOk);
+    if (name == owner) continue;
+    const time_point announced = group.store.announced[{owner + ":1", MemberName(name)}];
+    CHECK(group.store.now - announced < kAnnouncedWithin);
+  }
+}
+
 // Guards against processes that choose owners by what each remembers of earlier claims, so that no
-// one claims the cell (review/6).
-TEST_CASE("After a series of faults one process owns the cell") {
+// one claims the cell (review/6), and against an owner whose address no process knows any more, so
+// that its own front gives no answer and no process announces itself (review/7).
+TEST_CASE("After a series of faults one process owns the cell and all processes know it") {
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     CAPTURE(seed);
     history played(seed);
     played.Play();
     CHECK(played.Owners() == 1);
+    CHECK(played.Strayed() == 0);
   }
 }
 
--- a/packages/telemetry/include/sycamorehinge/telemetry/events.h
+++ b/packages/telemetry/include/sycamorehinge/telemetry/events.h
@@ -111,6 +111,8 @@
   kOwnerFenced,
   kLeasesGranted,
   kLeasesPaused,
+  kOwnerSilent,
+  kOwnerAnswers,
   // Decisions about jobs and tasks of the cell.
   kCellJobAccepted = 8101,
   kCellJobRefused,
--- a/packages/telemetry/src/event_catalogue.cc
+++ b/packages/telemetry/src/event_catalogue.cc
@@ -228,6 +228,12 @@
         "the store has not confirmed the ownership of the cell for after_ms, so the owner renews "
         "no lease and starts no task; work ends when its lease expires",
         "check the store and the network"},
+    event_description{kOwnerSilent, kWarning, "owner_silent",
+                      "the owner of the cell does not answer this process; calls ask the other "
+                      "processes for a newer one",
+                      "look for owner_answers or owner_learned; else check the network"},
+    event_description{kOwnerAnswers, kInfo, "owner_answers",
+                      "the owner of the cell answers this process again", "none"},
     event_description{kCellJobAccepted, kInfo, "job_accepted",
                       "a job was accepted and is written to the journal", "none"},
     event_description{kCellJobRefused, kInfo, "job_refused", "a job was refused and will not run",
