cell: a waiting gang reserves hosts of its own service only

Cause: ReserveHosts looks at the label of a host, but not at its service, and takes the hosts with the least allocated. Reserved hosts take no step of the same or a lower priority until the gang starts, which hosts of another service never bring about.

Change: IsEligible compares service and label, for placement and reservations alike. One gang of each service may hold reservations, not one of all. A reserved host that moves to another service, or whose gang does, is released.

--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -189,12 +189,16 @@
   return CopiesThatFit(max_free, wanted.task_size) > 0;
 }
 
+// Returns whether the host serves the queue of the step and has the label that the step requires.
+bool scheduler::state::IsEligible(const demand& wanted, const host_state& host) {
+  return host.entry.service == wanted.queue->service && HasLabel(host, wanted.spec->label);
+}
+
 // Returns how many tasks of the step fit on the host now, regardless of the policy verdict.
 std::uint32_t scheduler::state::FitCount(const demand& wanted, host_slot slot,
                                          bool include_reserved_capacity) const {
   const host_state& host = hosts[slot];
-  if (!IsUsable(host) || host.entry.service != wanted.queue->service) return 0;
-  if (!HasLabel(host, wanted.spec->label)) return 0;
+  if (!IsUsable(host) || !IsEligible(wanted, host)) return 0;
   const bool kept = host.reserved_for && host.reserved_for != wanted.step;
   if (kept && wanted.queue->priority >= host.reserved_priority) return 0;
   resources free = host.Free();
@@ -384,21 +388,22 @@
 
 // Reserves whole hosts, approved ones if the queue needs advice, for a gang that has waited for
 // `gang_reserve_delay`. Otherwise smaller tasks would take free capacity as soon as it appears.
-// Only steps of a more urgent queue may use the hosts meanwhile. One gang at a time holds
-// reservations.
+// Only steps of a more urgent queue may use the hosts meanwhile. One gang of each service at a time
+// holds reservations.
 void scheduler::state::ReserveHosts(const demand& wanted) {
   const step_state& step = *wanted.step;
+  ReleaseHostsOfOtherServices(wanted);
   if (!step.reserved_capacity.empty() || now - step.ready_since < options.gang_reserve_delay)
     return;
-  const bool kept = std::any_of(hosts.begin(), hosts.end(), [](const host_state& host) {
-    return host.reserved_for != nullptr;
+  const bool kept = std::any_of(hosts.begin(), hosts.end(), [&](const host_state& host) {
+    return host.reserved_for && host.entry.service == wanted.queue->service;
   });
   if (kept) return;
   std::vector<std::tuple<std::int64_t, host_slot, std::uint32_t>> candidates;
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
     const host_state& host = hosts[slot];
     if (wanted.NeedsAdvice() && !IsApproved(step, slot)) continue;
-    if (!IsUsable(host) || !HasLabel(host, wanted.spec->label)) continue;
+    if (!IsUsable(host) || !IsEligible(wanted, host)) continue;
     const std::uint32_t copies = CopiesThatFit(host.entry.capacity, wanted.task_size);
     if (copies > 0) candidates.emplace_back(host.allocated.cores_milli, slot, copies);
   }
@@ -417,6 +422,15 @@
   }
 }
 
+// Releases reserved hosts that have moved to another service, or whose gang has.
+void scheduler::state::ReleaseHostsOfOtherServices(const demand& wanted) {
+  for (host_state& host : hosts) {
+    if (host.reserved_for != wanted.step || host.entry.service == wanted.queue->service) continue;
+    host.reserved_for = nullptr;
+    pass_needed = true;
+  }
+}
+
 void scheduler::state::ReleaseReservedHosts(const step_state& step) {
   for (host_state& host : hosts) {
     if (host.reserved_for != &step) continue;
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -431,6 +431,7 @@
   std::vector<std::uint32_t> WaitingTasks(const step_state& step) const;
   demand DemandOf(const task_ref& ref, job_entry& job, const step_state& step) const;
   bool MightFit(const demand& wanted) const;
+  static bool IsEligible(const demand& wanted, const host_state& host);
   std::uint32_t FitCount(const demand& wanted, host_slot slot,
                          bool include_reserved_capacity) const;
   std::uint32_t UnclaimedCopies(const demand& wanted, host_slot slot) const;
@@ -444,6 +445,7 @@
                        const std::vector<std::pair<host_slot, std::uint32_t>>& chosen);
   void ReleaseReservedCapacity(step_state& step, const step_spec& spec);
   void ReserveHosts(const demand& wanted);
+  void ReleaseHostsOfOtherServices(const demand& wanted);
   void ReleaseReservedHosts(const step_state& step);
 
   // --- headroom (headroom.cc) ---
