cell: headroom is kept for each service

Cause: less urgent steps leave capacity free for what more urgent queues start and for their waiting gangs. Both, and the capacity that is free, were added up over the hosts of all services, so a gang that waits in one service kept capacity idle in another.

Change: rates of starts, waiting gangs and free capacity are counted for each service and priority.

Test: cell_test "No capacity is kept for more urgent steps of another service" failed before (no task started within 1 s beside 8 free cores). All cell tests pass.

--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -53,13 +53,11 @@
   return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-void scheduler::state::UpdateFreeCapacity() {
-  free_cores = 0;
+void scheduler::state::UpdateMaxFree() {
   max_free = {};
   for (const host_state& host : hosts) {
     if (!IsUsable(host)) continue;
     const resources free = host.Free();
-    free_cores += std::max<std::int64_t>(free.cores_milli, 0);
     max_free.cores_milli = std::max(max_free.cores_milli, free.cores_milli);
     max_free.memory_mb = std::max(max_free.memory_mb, free.memory_mb);
     max_free.accelerators = std::max(max_free.accelerators, free.accelerators);
@@ -75,7 +73,7 @@
   pass_needed = false;
   next_pass =
       now + kMinPassInterval + kPassIntervalPerStep * static_cast<std::int64_t>(waiting.size());
-  UpdateFreeCapacity();
+  UpdateMaxFree();
   UpdateHeadroom();
   struct candidate {
     std::uint32_t priority;
@@ -283,7 +281,7 @@
   run.checkpoint = task.checkpoint;
   if (slot < step.verdicts.size()) run.ticket = step.verdicts[slot].ticket;
   DecayStartRates();
-  start_rate& rate = start_rates[PriorityOf(job)];
+  start_rate& rate = start_rates[{hosts[slot].entry.service, PriorityOf(job)}];
   rate.cores_milli += static_cast<double>(runs.at(id).size.cores_milli);
   rate.tasks += 1;
   LogDecision(decision_kind::kTaskStarted, ref, number, hosts[slot].entry.id.value, job.queue,
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -259,15 +259,24 @@
   double tasks = 0;
 };
 
-// Capacity that steps of one priority leave free for more urgent ones.
+// Queues with these in common compete for the same hosts and are served alike.
+struct service_priority {
+  std::string service;
+  std::uint32_t priority = 0;
+
+  friend auto operator<=>(const service_priority&, const service_priority&) = default;
+};
+
+// Capacity that steps of one service and priority leave free for more urgent ones of the service.
 struct headroom {
   // Thousandths of cores that more urgent queues are expected to need soon.
   double needed = 0;
   // Thousandths of cores that more urgent gangs wait for.
   double needed_by_gangs = 0;
-  // Thousandths of cores that are free in pieces of the mean size of their tasks, and of all usable
-  // hosts.
+  // Thousandths of cores that are free in pieces of the mean size of their tasks, that are free at
+  // all, and of all usable hosts of the service.
   double available = 0;
+  double free = 0;
   double capacity = 0;
 };
 
@@ -422,7 +431,7 @@
 
   // --- placement (placement.cc) ---
   void Pass();
-  void UpdateFreeCapacity();
+  void UpdateMaxFree();
   void LogWait(const task_ref& ref, job_entry& job, step_state& step);
   std::string WaitReason(const task_ref& ref, job_entry& job, const step_state& step) const;
   void TryPlace(const waiting_key& key);
@@ -451,7 +460,7 @@
   // --- headroom (headroom.cc) ---
   bool LeavesHeadroom(const demand& wanted) const;
   void UpdateHeadroom();
-  std::map<std::uint32_t, double> WaitingGangCores();
+  std::map<service_priority, double> WaitingGangCores();
   void DecayStartRates();
 
   // --- advice (advice.cc) ---
@@ -499,9 +508,7 @@
   bool pass_needed = false;
   time_point next_pass;
   time_point next_full_pass;
-  // Free cores of all usable hosts at the start of the pass, and the per-resource maximum over
-  // hosts.
-  std::int64_t free_cores = 0;
+  // Per-resource maximum of the free resources over all usable hosts at the start of the pass.
   resources max_free;
   time_point now;
   std::int64_t wall_ms = 0;
@@ -549,10 +556,9 @@
   // Total service time of the open advice requests, indexed by whether they are long.
   std::array<duration, 2> pending_advice_time{};
   std::unordered_map<std::string, approval_rate> approval;
-  // By priority.
-  std::map<std::uint32_t, start_rate> start_rates;
+  std::map<service_priority, start_rate> start_rates;
   time_point start_rates_updated;
-  std::map<std::uint32_t, headroom> headrooms;
+  std::map<service_priority, headroom> headrooms;
 
   std::uint64_t sequence = 0;
   std::uint64_t durable = 0;
--- a/packages/cell/tests/service_test.cc
+++ b/packages/cell/tests/service_test.cc
@@ -11,10 +11,10 @@
 constexpr resources kHost = {8000, 16'000, 0, 0};
 constexpr duration kForever = std::chrono::hours(1);
 
-// Two services of two hosts each, with queues "a" and "b".
-void StartCell(simulated_cell& cell) {
+// Two services of two hosts each, with queues "a", of priority 0, and "b".
+void StartCell(simulated_cell& cell, std::uint32_t priority_of_b = 0) {
   for (const char* name : {"a", "b"}) {
-    cell.AddQueue(name).service = name;
+    cell.AddQueue(name, *name == 'a' ? 0 : priority_of_b).service = name;
     for (const char* number : {"0", "1"}) {
       cell.AddHost(std::string(name) + number, kHost).entry.service = name;
     }
@@ -28,12 +28,17 @@
   return spec;
 }
 
-// Leaves no room for a gang of 6 cores a task on the hosts of service "a", and lets one wait until
-// it has reserved them.
-void LetGangWait(simulated_cell& cell) {
-  job_spec lasting = OneStep(2, 3000, kForever);
-  lasting.steps[0].spread_limit = 1;
-  cell.Submit(1, "a", lasting);
+// Returns a job with a lasting task on each of two hosts.
+job_spec OneEach(std::int64_t cores_milli) {
+  job_spec spec = OneStep(2, cores_milli, kForever);
+  spec.steps[0].spread_limit = 1;
+  return spec;
+}
+
+// Takes cores of each host of service "a", so that a gang of 6 cores a task waits there, until it
+// has reserved the hosts.
+void LetGangWait(simulated_cell& cell, std::int64_t taken_cores_milli) {
+  cell.Submit(1, "a", OneEach(taken_cores_milli));
   REQUIRE(cell.RunUntil([&] { return cell.Running(1) == 2; }, seconds(1)));
   cell.Submit(2, "a", Gang(2, 6000, seconds(1)));
   cell.Run(seconds(2));
@@ -45,7 +50,7 @@
 TEST_CASE("A waiting gang reserves no host of another service") {
   simulated_cell cell;
   StartCell(cell);
-  LetGangWait(cell);
+  LetGangWait(cell, 3000);
   cell.Submit(3, "b", OneStep(2, 2000, seconds(1)));
   CHECK(cell.RunUntil([&] { return cell.Running(3) == 2; }, seconds(1)));
   CHECK(cell.violations.empty());
@@ -55,7 +60,7 @@
 TEST_CASE("Gangs of several services reserve hosts at the same time") {
   simulated_cell cell;
   StartCell(cell);
-  LetGangWait(cell);
+  LetGangWait(cell, 3000);
   job_number next = 100;
   for (int i = 0; i < 8; ++i) cell.Submit(next++, "b", OneStep(2, 1000, seconds(1)));
   cell.Run(milliseconds(300));
@@ -74,7 +79,7 @@
 TEST_CASE("A reserved host that moves to another service takes its tasks") {
   simulated_cell cell;
   StartCell(cell);
-  LetGangWait(cell);
+  LetGangWait(cell, 3000);
   cell.Submit(3, "b", OneStep(2, 8000, kForever));
   REQUIRE(cell.RunUntil([&] { return cell.Running(3) == 2; }, seconds(1)));
   fake_host& host = cell.Host("a1");
@@ -85,5 +90,17 @@
   CHECK(cell.violations.empty());
 }
 
+// Guards against idle capacity that is kept for more urgent gangs of another service.
+TEST_CASE("No capacity is kept for more urgent steps of another service") {
+  simulated_cell cell;
+  StartCell(cell, 1);
+  LetGangWait(cell, kHost.cores_milli);
+  cell.Submit(3, "b", OneEach(4000));
+  REQUIRE(cell.RunUntil([&] { return cell.Running(3) == 2; }, seconds(1)));
+  cell.Submit(4, "b", OneStep(2, 4000, seconds(1)));
+  CHECK(cell.RunUntil([&] { return cell.Running(4) == 2; }, seconds(1)));
+  CHECK(cell.violations.empty());
+}
+
 }  // namespace
 }  // namespace sycamorehinge::cell::testing
