cell: gangs ask the policy service about hosts of their service only

Cause: a gang that can't start now lists the hosts that it could use when they are empty, by label and capacity, not by service. It asked the policy service, which handles one request at a time for each process, about hosts of other services, and counted them as capacity.

Change: OutlookOf looks at eligible hosts only, as placement and reservations do.

Test: cell_test "A gang asks the policy service about hosts of its service only" failed before (it asked about all four hosts). All cell tests pass.

--- a/packages/cell/src/advice.cc
+++ b/packages/cell/src/advice.cc
@@ -126,7 +126,7 @@
     const policy_verdict& verdict = step.verdicts[slot];
     const host_state& host = hosts[slot];
     if (verdict.known && !verdict.approved) continue;
-    if (!IsUsable(host) || !HasLabel(host, wanted.spec->label)) continue;
+    if (!IsUsable(host) || !IsEligible(wanted, host)) continue;
     const std::uint32_t copies = UnclaimedCopies(wanted, slot);
     const std::uint32_t copies_when_empty = CopiesThatFit(host.entry.capacity, wanted.task_size);
     if (verdict.known) {
--- a/packages/cell/tests/service_test.cc
+++ b/packages/cell/tests/service_test.cc
@@ -102,5 +102,28 @@
   CHECK(cell.violations.empty());
 }
 
+// Guards against requests to the policy service, which handles one at a time, about hosts that the
+// gang can never use.
+TEST_CASE("A gang asks the policy service about hosts of its service only") {
+  simulated_cell cell;
+  for (const char* name : {"a", "b"}) {
+    queue_settings& queue = cell.AddQueue(name);
+    queue.service = name;
+    queue.advice = advice_settings{milliseconds(10), std::chrono::microseconds(500), seconds(2)};
+    for (const char* number : {"0", "1"}) {
+      cell.AddHost(std::string(name) + number, kHost).entry.service = name;
+    }
+  }
+  cell.StartFirstOwner();
+  std::set<std::string> asked;
+  cell.approve = [&asked](const task_ref& task, const host_id& host) {
+    if (task.job == 2) asked.insert(host.value);
+    return true;
+  };
+  LetGangWait(cell, 3000);
+  cell.Run(seconds(3));
+  CHECK(asked == std::set<std::string>{"a0", "a1"});
+}
+
 }  // namespace
 }  // namespace sycamorehinge::cell::testing
