cell: a periodic job has a bounded number of open tasks

Cause: the progress of a job is one record with a list of its open occurrences, and all due ones were opened at once. The reader refuses lists of more than 16,384 elements, so the next owner started the job anew. Evidence: journal_unreadable ... error=too_large in its log.

Change: a job opens a further occurrence only while its open ones have 8,192 tasks at most, and the next one when an open one ends. static_assert compares the limits of work.h with that of the reader.

--- a/packages/cell/include/sycamorehinge/cell/work.h
+++ b/packages/cell/include/sycamorehinge/cell/work.h
@@ -76,6 +76,9 @@
 inline constexpr std::uint32_t kMaxSteps = 64;
 inline constexpr std::uint32_t kMaxTasksPerStep = 5000;
 inline constexpr std::uint32_t kMaxOccurrences = 100'000;
+// A periodic job opens no further occurrence while its open ones have more tasks than this. One
+// record of the journal holds the progress of all of them.
+inline constexpr std::uint32_t kMaxOpenTasks = 8192;
 
 // Returns kMalformed if there are no steps, a step has no tasks or a negative size, a dependency is
 // not an earlier step, a count exceeds its limit, or the interval is negative; otherwise kOk.
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -192,12 +192,21 @@
   EnqueueReadySteps(number, job, index);
 }
 
+// Returns whether the job may open its next occurrence beside those that are open.
+bool scheduler::state::MayOpenOccurrence(const job_entry& job) {
+  std::size_t tasks = 0;
+  for (const step_spec& step : job.spec.steps) tasks += step.count;
+  return job.occurrences.empty() || tasks * (job.occurrences.size() + 1) <= kMaxOpenTasks;
+}
+
+// A job with too many open tasks opens its next occurrence when one of them ends.
 void scheduler::state::OpenDueOccurrences(std::int64_t wall) {
   while (!periodic_jobs.empty() && periodic_jobs.begin()->first <= wall) {
     const job_number number = periodic_jobs.begin()->second;
     periodic_jobs.erase(periodic_jobs.begin());
     job_entry* job = FindJob(number);
     if (!job || job->Ended() || job->next_occurrence >= job->spec.occurrences) continue;
+    if (!MayOpenOccurrence(*job)) continue;
     OpenOccurrence(number, *job, job->next_occurrence);
     MarkDirty(number, *job);
     if (job->next_occurrence < job->spec.occurrences) {
@@ -286,6 +295,7 @@
   }
   job.occurrences.erase(ref.occurrence);
   const bool last = !job.IsPeriodic() || job.next_occurrence >= job.spec.occurrences;
+  if (!last) periodic_jobs.emplace(DueMs(job, job.next_occurrence), ref.job);
   if (!last || !job.occurrences.empty()) return;
   FinishJob(ref.job, job, job_phase::kCompleted, "all tasks succeeded");
 }
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -324,6 +324,7 @@
   void SetPhase(job_entry& job, job_phase phase);
   void Activate(job_number number, job_entry& job);
   void OpenOccurrence(job_number number, job_entry& job, std::uint32_t occurrence);
+  static bool MayOpenOccurrence(const job_entry& job);
   void OpenDueOccurrences(std::int64_t wall);
   void EnqueueReadySteps(job_number number, job_entry& job, std::uint32_t occurrence);
   bool StepReady(const job_entry& job, const occurrence_state& occurrence,
@@ -532,7 +533,8 @@
   std::unordered_map<job_number, early_cancel> early_cancels;
   // Time of the cancelling in Unix milliseconds, and job.
   std::set<std::pair<std::int64_t, job_number>> early_cancel_times;
-  // Due time of the next occurrence in Unix milliseconds, and job.
+  // Due time of the next occurrence in Unix milliseconds, and job. A job with too many open tasks
+  // is missing until one of its occurrences ends.
   std::set<std::pair<std::int64_t, job_number>> periodic_jobs;
   std::set<waiting_key> waiting;
   // Number of jobs of each queue of which no task has started.
--- a/packages/cell/tests/scheduler_test.cc
+++ b/packages/cell/tests/scheduler_test.cc
@@ -149,6 +149,30 @@
   CHECK(cell.PendingJobs("q") == 0);
 }
 
+// Guards against a record of progress that grows with the backlog of a periodic job, and against a
+// job that stops once the number of its open tasks is bounded.
+TEST_CASE("A periodic job with a long backlog opens a bounded number of tasks and runs them all") {
+  constexpr std::uint32_t kTasks = 100;
+  simulated_cell cell;
+  cell.AddQueue("q");
+  cell.AddHost("h1", {std::int64_t{1000} * kTasks, 100'000, 0, 0});
+  cell.StartFirstOwner();
+  job_spec spec = OneStep(kTasks, 1000, milliseconds(50));
+  spec.occurrences = 200;
+  spec.interval_ms = 10;
+  spec.first_start_ms = cell.wall_ms - 10'000;
+  std::size_t most_waiting = 0;
+  cell.Submit(1, "q", spec);
+  const auto completed = [&] {
+    most_waiting = std::max(most_waiting, cell.owner->Summary().waiting_steps);
+    return cell.Phase(1) == job_phase::kCompleted;
+  };
+  CHECK(cell.RunUntil(completed, seconds(60)));
+  CHECK(most_waiting <= kMaxOpenTasks / kTasks);
+  CHECK(cell.tasks.size() == std::size_t{kTasks} * spec.occurrences);
+  CHECK(cell.violations.empty());
+}
+
 // Guards against occurrences that start early, are skipped, or run twice.
 TEST_CASE("Occurrences run at their times and may overlap") {
   simulated_cell cell;
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -130,6 +130,10 @@
 constexpr std::uint8_t kCallVersion = 2;
 constexpr std::size_t kMaxBytes = std::size_t{4} << 20;
 
+// What the scheduler writes can be read again.
+static_assert(cell::kMaxOpenTasks <= kMaxElements && cell::kMaxTasksPerStep <= kMaxElements &&
+              cell::kMaxSteps <= kMaxElements);
+
 // A key is a kind letter followed by the job number in 16 hexadecimal digits or the host id.
 constexpr char kTermKey = 't';
 constexpr char kGrantersKey = 'o';
--- a/packages/control/tests/codec_test.cc
+++ b/packages/control/tests/codec_test.cc
@@ -104,6 +104,31 @@
   CHECK(std::get<cell::cancelled_record>(*cancelled).cancelled_ms == 77);
 }
 
+// Guards against progress that is written but not read: the next owner starts all tasks again
+// (review/8).
+TEST_CASE("The largest progress of a job is decoded as it was written") {
+  cell::progress_record progress;
+  progress.job = 1;
+  SECTION("the most occurrences") {
+    for (std::uint32_t i = 0; i < cell::kMaxOpenTasks; ++i) {
+      progress.open.push_back({cell::kMaxOccurrences - i, {{{i % 2 == 0, {64'000 + i}}}}});
+    }
+  }
+  SECTION("the most steps and tasks") {
+    const std::vector<cell::task_progress> step(cell::kMaxTasksPerStep, {true, {}});
+    progress.open.push_back({1, {cell::kMaxSteps, step}});
+  }
+  std::vector<stream_record> records;
+  EncodeJournalRecord(progress, records);
+  const auto read = DecodeJournalRecord(records[0].key, *records[0].value);
+  REQUIRE(read);
+  const auto& open = std::get<cell::progress_record>(*read).open;
+  REQUIRE(open.size() == progress.open.size());
+  CHECK(open.back().number == progress.open.back().number);
+  CHECK(open.back().steps.size() == progress.open.back().steps.size());
+  CHECK(open.back().steps.back().size() == progress.open.back().steps.back().size());
+}
+
 // Guards against keys that stay in the store after their job is forgotten.
 TEST_CASE("Retiring and forgetting a job remove the keys that were written for it") {
   std::vector<stream_record> records;
