--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -105,6 +105,9 @@
   // --- ownership ---
   // Restores one journal record. Records may come in any order.
   void Load(journal_record record);
+  // Reports that a record of the job cannot be read. The job stays known, and can be cancelled, but
+  // none of its tasks start, since they may have succeeded. Its records stay as they are.
+  void LoadUnreadable(job_number job);
   // Starts to act as the owner. `token` fences off earlier owners at the hosts; `term` must exceed
   // the term of every earlier owner. `address` identifies this process to later owners.
   void BeginTerm(std::uint64_t term, std::uint64_t token, std::string_view address, time_point now,
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -157,7 +157,7 @@
 void scheduler::state::Activate(job_number number, job_entry& job) {
   // The accepted_record is missing from the journal although the job has not ended, so its tasks
   // are unknown.
-  if (job.spec.steps.empty()) return;
+  if (job.unreadable || job.spec.steps.empty()) return;
   job.active = true;
   if (!Matches(job)) job.occurrences.clear();
   for (auto& [index, occurrence] : job.occurrences) {
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -24,6 +24,8 @@
 
 void scheduler::Load(journal_record record) { state_->Load(std::move(record)); }
 
+void scheduler::LoadUnreadable(job_number job) { state_->jobs[job].unreadable = true; }
+
 void scheduler::BeginTerm(std::uint64_t term, std::uint64_t token, std::string_view address,
                           time_point now, std::int64_t wall_ms) {
   state& s = *state_;
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -141,6 +141,8 @@
   std::int64_t ended_ms = 0;
   bool active = false;
   bool dirty = false;
+  // A record of the job could not be read, so the results of its tasks are unknown.
+  bool unreadable = false;
 
   bool Ended() const { return phase >= job_phase::kCompleted; }
   bool IsPeriodic() const { return spec.occurrences > 0; }
--- a/packages/control/include/sycamorehinge/control/journal_codec.h
+++ b/packages/control/include/sycamorehinge/control/journal_codec.h
@@ -2,6 +2,7 @@
 #ifndef SYCAMOREHINGE_CONTROL_JOURNAL_CODEC_H_
 #define SYCAMOREHINGE_CONTROL_JOURNAL_CODEC_H_
 
+#include <optional>
 #include <string_view>
 
 #include "sycamorehinge/cell/records.h"
@@ -16,6 +17,9 @@
 // Errors: kMalformed, kTruncated, kWrongVersion.
 result<cell::journal_record> DecodeJournalRecord(std::string_view key, std::string_view value);
 
+// Returns the job that a record with this key belongs to; nullopt if it belongs to none.
+std::optional<cell::job_number> JobOfJournalKey(std::string_view key);
+
 }  // namespace sycamorehinge::control
 
 #endif  // SYCAMOREHINGE_CONTROL_JOURNAL_CODEC_H_
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -241,6 +241,7 @@
       } else {
         log_.Write(event_number::kJournalUnreadable,
                    {{"key", record.key}, {"error", ErrorName(decoded.code())}});
+        if (const auto job = JobOfJournalKey(record.key)) s.scheduler->LoadUnreadable(*job);
       }
     }
   });
--- a/packages/telemetry/src/event_catalogue.cc
+++ b/packages/telemetry/src/event_catalogue.cc
@@ -184,8 +184,9 @@
                       "an entry of the host list does not describe a usable host",
                       "report to the platform"},
     event_description{kJournalUnreadable, kError, "journal_unreadable",
-                      "a record of the journal cannot be decoded and is ignored",
-                      "look for a process with another version"},
+                      "a record of the journal cannot be decoded; its job stays known, but none of "
+                      "its tasks start",
+                      "look for a process with another version; cancel the job if there is none"},
     event_description{kSettingsReloaded, kInfo, "settings_reloaded",
                       "the settings file was read again", "none"},
     event_description{kMemberListed, kInfo, "member_listed",
