--- a/packages/cell/include/sycamorehinge/cell/records.h
+++ b/packages/cell/include/sycamorehinge/cell/records.h
@@ -2,6 +2,7 @@
 #ifndef SYCAMOREHINGE_CELL_RECORDS_H_
 #define SYCAMOREHINGE_CELL_RECORDS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -90,6 +91,13 @@
                                     progress_record, remove_accepted_job, remove_job,
                                     cancelled_record, remove_cancelled, host_record, remove_host>;
 
+// Upper bounds of the encoded sizes in bytes, without the key.
+std::size_t MaxEncodedBytes(const accepted_record& record);
+std::size_t MaxEncodedBytes(const progress_record& record);
+// Upper bound for the part of a progress_record that holds one occurrence of the job, of which no
+// task has failed.
+std::size_t MaxOccurrenceBytes(const job_spec& spec);
+
 }  // namespace sycamorehinge::cell
 
 #endif  // SYCAMOREHINGE_CELL_RECORDS_H_
--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -75,6 +75,8 @@
   std::size_t max_open_starts = 500;
   // A gang that has waited this long gets hosts reserved for it.
   duration gang_reserve_delay = std::chrono::milliseconds(800);
+  // Largest value of a record that the journal stores.
+  std::size_t max_record_bytes = 262'000;
 };
 
 struct scheduler_summary {
--- a/packages/cell/include/sycamorehinge/cell/work.h
+++ b/packages/cell/include/sycamorehinge/cell/work.h
@@ -81,7 +81,8 @@
 inline constexpr std::uint32_t kMaxOpenTasks = 8192;
 
 // Returns kMalformed if there are no steps, a step has no tasks or a negative size, a dependency is
-// not an earlier step, a count exceeds its limit, or the interval is negative; otherwise kOk.
+// not an earlier step, a count exceeds its limit (kMaxSteps for the dependencies of a step), or the
+// interval is negative; otherwise kOk.
 errc ValidateSpec(const job_spec& spec);
 
 }  // namespace sycamorehinge::cell
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -129,13 +129,14 @@
     return Answer({call, errc::kOk, known->phase}, known->accepted_sequence);
   }
   const bool known_queue = config->FindQueue(queue) != nullptr;
-  const errc code = known_queue ? ValidateSpec(spec) : errc::kNotReady;
+  errc code = known_queue ? ValidateSpec(spec) : errc::kNotReady;
+  accepted_record record{number, std::string(queue), wall, std::move(spec)};
+  if (code == errc::kOk && !FitsJournal(record)) code = errc::kTooLarge;
   if (code != errc::kOk) {
     LogDecision(decision_kind::kJobRefused, {number}, 0, {}, ErrorName(code));
     return Answer({call, code}, 0);
   }
   if (SubmitCancelled(call, number, queue)) return;
-  accepted_record record{number, std::string(queue), wall, std::move(spec)};
   job_entry& job = jobs[number];
   job.queue = record.queue;
   job.accepted_ms = wall;
@@ -149,6 +150,13 @@
   LogDecision(decision_kind::kJobAccepted, {number}, 0, {}, queue);
 }
 
+// Returns whether the journal can store the job and its progress. Half of a record is left for the
+// numbers of failed runs.
+bool scheduler::state::FitsJournal(const accepted_record& record) const {
+  return MaxEncodedBytes(record) <= options.max_record_bytes &&
+         MaxOccurrenceBytes(record.spec) <= options.max_record_bytes / 2;
+}
+
 std::int64_t scheduler::state::DueMs(const job_entry& job, std::uint32_t occurrence) const {
   return job.spec.first_start_ms + static_cast<std::int64_t>(occurrence) * job.spec.interval_ms;
 }
@@ -193,10 +201,12 @@
 }
 
 // Returns whether the job may open its next occurrence beside those that are open.
-bool scheduler::state::MayOpenOccurrence(const job_entry& job) {
+bool scheduler::state::MayOpenOccurrence(const job_entry& job) const {
+  const std::size_t open = job.occurrences.size() + 1;
   std::size_t tasks = 0;
   for (const step_spec& step : job.spec.steps) tasks += step.count;
-  return job.occurrences.empty() || tasks * (job.occurrences.size() + 1) <= kMaxOpenTasks;
+  return open == 1 || (open * tasks <= kMaxOpenTasks &&
+                       open * MaxOccurrenceBytes(job.spec) <= options.max_record_bytes / 2);
 }
 
 // A job with too many open tasks opens its next occurrence when one of them ends.
--- a/packages/cell/src/journal.cc
+++ b/packages/cell/src/journal.cc
@@ -31,6 +31,10 @@
     }
   }
   job.dirty = false;
+  // A record that the journal refuses would keep all later ones of all jobs from being stored.
+  if (!job.Ended() && MaxEncodedBytes(record) > options.max_record_bytes) {
+    return FinishJob(number, job, job_phase::kFailed, "its progress exceeds the size of a record");
+  }
   job.phase_sequence = Write(std::move(record));
 }
 
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -326,7 +326,8 @@
   void SetPhase(job_entry& job, job_phase phase);
   void Activate(job_number number, job_entry& job);
   void OpenOccurrence(job_number number, job_entry& job, std::uint32_t occurrence);
-  static bool MayOpenOccurrence(const job_entry& job);
+  bool FitsJournal(const accepted_record& record) const;
+  bool MayOpenOccurrence(const job_entry& job) const;
   void OpenDueOccurrences(std::int64_t wall);
   void EnqueueReadySteps(job_number number, job_entry& job, std::uint32_t occurrence);
   bool StepReady(const job_entry& job, const occurrence_state& occurrence,
--- a/packages/cell/src/work.cc
+++ b/packages/cell/src/work.cc
@@ -8,6 +8,7 @@
 
 bool IsValid(const step_spec& step, std::size_t number) {
   if (step.count == 0 || step.count > kMaxTasksPerStep) return false;
+  if (step.after.size() > kMaxSteps) return false;
   const resources& size = step.size;
   if (size.cores_milli < 0 || size.memory_mb < 0 || size.accelerators < 0) return false;
   return std::all_of(step.after.begin(), step.after.end(),
--- a/packages/cell/tests/scheduler_test.cc
+++ b/packages/cell/tests/scheduler_test.cc
@@ -173,6 +173,25 @@
   CHECK(cell.violations.empty());
 }
 
+// Guards against a journal that is blocked for all jobs by the progress of one job whose tasks fail
+// again and again.
+TEST_CASE("A job whose progress outgrows a record fails, and others go on") {
+  scheduler_options options;
+  options.max_record_bytes = 2000;
+  simulated_cell cell(options);
+  cell.AddQueue("q", 0, 1000);
+  cell.AddHost("h1", {400'000, 400'000, 0, 0});
+  cell.StartFirstOwner();
+  cell.outcome = [](const task_ref& task, std::uint32_t) {
+    return task.job == 1 ? end_kind::kFailed : end_kind::kDone;
+  };
+  cell.Submit(1, "q", OneStep(300, 1000, milliseconds(50)));
+  CHECK(cell.RunUntil([&] { return cell.Phase(1) == job_phase::kFailed; }, seconds(30)));
+  cell.Submit(2, "q", OneStep(1, 1000, milliseconds(50)));
+  CHECK(cell.RunUntil([&] { return cell.Phase(2) == job_phase::kCompleted; }, seconds(30)));
+  CHECK(cell.violations.empty());
+}
+
 // Guards against occurrences that start early, are skipped, or run twice.
 TEST_CASE("Occurrences run at their times and may overlap") {
   simulated_cell cell;
--- a/packages/cell/tests/work_test.cc
+++ b/packages/cell/tests/work_test.cc
@@ -23,6 +23,12 @@
   CHECK(ValidateSpec(forward) == errc::kMalformed);
   forward.steps[0].after = {7};
   CHECK(ValidateSpec(forward) == errc::kMalformed);
+  job_spec dependent = OneStep(1, 1000, seconds(1));
+  dependent.steps.push_back(dependent.steps[0]);
+  dependent.steps[1].after.assign(kMaxSteps, 0);
+  CHECK(ValidateSpec(dependent) == errc::kOk);
+  dependent.steps[1].after.push_back(0);
+  CHECK(ValidateSpec(dependent) == errc::kMalformed);
   job_spec many = OneStep(1, 1000, seconds(1));
   many.occurrences = kMaxOccurrences + 1;
   CHECK(ValidateSpec(many) == errc::kMalformed);
--- a/packages/control/tests/codec_test.cc
+++ b/packages/control/tests/codec_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <limits>
 
 #include "sycamorehinge/control/calls.h"
 #include "sycamorehinge/control/journal_codec.h"
@@ -129,6 +130,35 @@
   CHECK(open.back().steps.back().size() == progress.open.back().steps.back().size());
 }
 
+// Guards against a job that is accepted although its records do not fit into the journal.
+TEST_CASE("Records are not larger than the scheduler expects") {
+  constexpr auto kNumber = std::numeric_limits<std::uint32_t>::max();
+  constexpr auto kWideNumber = std::numeric_limits<std::int64_t>::min();
+  const auto size_of = [](const cell::journal_record& record) {
+    std::vector<stream_record> records;
+    EncodeJournalRecord(record, records);
+    return records.front().value->size();
+  };
+  cell::step_spec step;
+  step.count = step.spread_limit = step.max_unavailable = kNumber;
+  step.size = {kWideNumber, kWideNumber, kWideNumber, kWideNumber};
+  step.run_time = step.latency_target = duration(kWideNumber);
+  step.after.assign(cell::kMaxSteps, kNumber);
+  step.label = step.rack = step.image = std::string(200, 'x');
+  cell::accepted_record accepted{1, std::string(300, 'q'), kWideNumber, {}};
+  accepted.spec = {std::string(4000, 'p'), {}, kNumber, kWideNumber, kWideNumber};
+  accepted.spec.steps.assign(cell::kMaxSteps, step);
+  CHECK(size_of(accepted) <= cell::MaxEncodedBytes(accepted));
+  cell::progress_record progress;
+  progress.queue = accepted.queue;
+  progress.ended_ms = kWideNumber;
+  progress.next_occurrence = kNumber;
+  const std::vector<std::uint32_t> failed(200, kNumber);
+  const cell::occurrence_progress open{kNumber, {100, {200, {true, failed}}}};
+  progress.open.assign(2, open);
+  CHECK(size_of(progress) <= cell::MaxEncodedBytes(progress));
+}
+
 // Guards against keys that stay in the store after their job is forgotten.
 TEST_CASE("Retiring and forgetting a job remove the keys that were written for it") {
   std::vector<stream_record> records;
--- a/packages/control/tests/fake_store.cc
+++ b/packages/control/tests/fake_store.cc
@@ -62,6 +62,10 @@
 
 result<std::uint64_t> fake_store::Append(stream_name name, const std::optional<append_guard>& guard,
                                          const std::vector<stream_record>& records) {
+  const auto is_too_large = [this](const stream_record& record) {
+    return record.value && record.key.size() + record.value->size() > max_record_bytes;
+  };
+  if (std::any_of(records.begin(), records.end(), is_too_large)) return errc::kLogUnavailable;
   stream& target = streams_[name];
   if (guard) {
     writer& known = target.writers[guard->producer];
--- a/packages/control/tests/fake_store.h
+++ b/packages/control/tests/fake_store.h
@@ -60,6 +60,8 @@
   // Time to open a connection to the store, by process; 1 ms by default.
   std::map<std::string, duration> connect_times;
   bool available = true;
+  // Larger records are refused, and with them the whole append.
+  std::size_t max_record_bytes = 262'144;
   // Appends take effect, but their answers are lost.
   bool drop_answers = false;
   // The answers of this many next appends are lost.
--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -24,6 +24,8 @@
 constexpr unsigned kInnerConnections = 400;
 // Leases leave this much of the longest one that hosts grant.
 constexpr duration kLeaseReserve = std::chrono::milliseconds(500);
+// Room for the key in a record of the store.
+constexpr std::size_t kKeyBytes = 144;
 
 event_log_options EventOptions(const runtime_clock& clock) {
   event_log_options options;
@@ -84,6 +86,7 @@
   scheduler.max_lease = settings.max_lease;
   scheduler.stop_timeout = settings.stop_timeout;
   scheduler.gang_timeout = settings.gang_timeout;
+  scheduler.max_record_bytes = settings.max_record_bytes - kKeyBytes;
   scheduler.job_retention = std::max(scheduler.job_retention, settings.status_retention * 5 / 4);
   return options;
 }
