--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -141,7 +141,6 @@
 constexpr char kProgressKey = 's';
 constexpr char kCancelledKey = 'c';
 constexpr char kHostKey = 'h';
-constexpr char kJobKeys[] = {kAcceptedKey, kProgressKey, kCancelledKey};
 constexpr std::size_t kJobDigits = 16;
 
 template <class Value>
@@ -255,10 +254,10 @@
 }
 
 std::optional<cell::job_number> JobOfJournalKey(std::string_view key) {
-  constexpr std::string_view kJobKinds = {kJobKeys, std::size(kJobKeys)};
   cell::job_number job = 0;
-  if (key.empty() || kJobKinds.find(key.front()) == std::string_view::npos) return std::nullopt;
   if (!ParseJobKey(key, job)) return std::nullopt;
+  const char kind = key.front();
+  if (kind != kAcceptedKey && kind != kProgressKey && kind != kCancelledKey) return std::nullopt;
   return job;
 }
 
