control: an owner that answers other calls is not silent

Cause: a submission is answered once the store has the job.

Change: the owner is silent if it has answered no message since the call was sent.

--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -73,6 +73,7 @@
                                 effects& out) {
   open_call& open = state.calls.at(id);
   open.in_flight = true;
+  open.sent_at = port_.now();
   open.target = target;
   open.newest_epoch = std::max(open.newest_epoch, target.epoch);
   const call_attempt attempt{
@@ -100,7 +101,11 @@
     open_call& open = found->second;
     open.in_flight = false;
     const bool asked_owner = open.target.address == state.owner.address;
-    if (asked_owner) SetOwnerSilent(state, !outcome, out);
+    if (asked_owner && outcome) NoteOwnerAnswer(state, out);
+    // An owner that answers other messages is slow, not gone: some calls wait for the store.
+    if (asked_owner && !outcome && state.owner_answered_at < open.sent_at) {
+      SetOwnerSilent(state, true, out);
+    }
     if (outcome && IsFinal(state, open, outcome->code)) {
       state.failing_since = time_point::max();
       ReportRefusal(open, outcome->code, out);
@@ -212,13 +217,18 @@
   out.push_back([this, silent, owner = state.owner] { handlers_.on_owner_silence(silent, owner); });
 }
 
+void call_router::NoteOwnerAnswer(routing_state& state, effects& out) {
+  state.owner_answered_at = port_.now();
+  SetOwnerSilent(state, false, out);
+}
+
 void call_router::LearnOwner(const owner_info& owner) {
   Update([&](routing_state& state, effects& out) { UpdateOwner(state, owner, out); });
 }
 
 void call_router::OnOwnerAnswer(std::string_view address) {
   Update([&](routing_state& state, effects& out) {
-    if (state.owner.address == address) SetOwnerSilent(state, false, out);
+    if (state.owner.address == address) NoteOwnerAnswer(state, out);
   });
 }
 
--- a/packages/control/src/call_router.h
+++ b/packages/control/src/call_router.h
@@ -80,6 +80,8 @@
     // An earlier attempt may have reached an owner that acted on it.
     bool may_have_effect = false;
     bool in_flight = false;
+    // Time of the last attempt.
+    time_point sent_at;
     // The owner has not ended the last attempt, so a peer is asked next.
     bool ask_peer = false;
     // Target of the last attempt.
@@ -91,8 +93,9 @@
     // Newest known owner. It stays known until there is a newer one, since no other message names
     // it again.
     owner_info owner;
-    // The owner gave no answer to the last message. Calls ask the peers for a newer one meanwhile,
-    // since an attempt that may reach the owner cannot be refused.
+    time_point owner_answered_at;
+    // The owner has answered no message since the last unanswered call was sent. Calls ask the
+    // peers for a newer one meanwhile, since an attempt that may reach the owner cannot be refused.
     bool owner_silent = false;
     std::vector<std::string> peers;
     std::size_t next_peer = 0;
@@ -121,6 +124,7 @@
   void ReportRefusal(const open_call& open, errc code, effects& out);
   // True if `owner` is newer than the known one; retries waiting calls then.
   bool UpdateOwner(routing_state& state, const owner_info& owner, effects& out);
+  void NoteOwnerAnswer(routing_state& state, effects& out);
   void SetOwnerSilent(routing_state& state, bool silent, effects& out);
 
   const ports& port_;
--- a/packages/control/tests/call_router_test.cc
+++ b/packages/control/tests/call_router_test.cc
@@ -223,6 +223,23 @@
   }
 }
 
+// Guards against calls that avoid an owner that works: it answers a submission once the store has
+// the job, which may take longer than an attempt.
+TEST_CASE("An owner that answers other calls is not silent") {
+  router_fixture played;
+  played.router.LearnOwner({9, "new:1"});
+  played.router.SetPeers({"peer:1"});
+  played.Submit();
+  const auto slow = played.NextSent();
+  played.Run(milliseconds(100));
+  played.Submit();
+  played.NextSent().done(peer_answer());
+  slow.done(errc::kTimeout);
+  CHECK(played.silences.empty());
+  played.Submit();
+  CHECK(played.NextSent().address == "new:1");
+}
+
 // Guards against calls that wake each other at the speed of a round trip while a claimant loads: a
 // peer that names an owner that is known already is no news to other calls.
 TEST_CASE("Calls that wait for a claimant do not wake each other") {
