cell, control, platform: tenants with keys and quotas

Cause: the process knew no tenant. Calls were served without a valid key, and tenants started tasks beyond their quota.

Change: the configuration holds tenants with keys, weight and quota. The process that takes a call identifies the caller by the key; the owner stores the tenant with the job, keeps quotas over all hosts, and places steps of tenants above their share last. Weighted dominant shares and quotas are those of packages/core. Records without a tenant keep version 1.

--- a/packages/cell/include/sycamorehinge/cell/records.h
+++ b/packages/cell/include/sycamorehinge/cell/records.h
@@ -30,6 +30,8 @@
   std::string queue;
   std::int64_t accepted_ms = 0;
   job_spec spec;
+  // Tenant that submitted the job; empty if there is none.
+  std::string tenant;
 };
 
 struct task_progress {
@@ -54,6 +56,8 @@
   // All occurrences below this number have ended, except those in `open`.
   std::uint32_t next_occurrence = 0;
   std::vector<occurrence_progress> open;
+  // As in accepted_record, which is removed when the job ends.
+  std::string tenant;
 };
 
 // Removes the accepted_record of a job that has ended.
@@ -70,6 +74,8 @@
   job_number job = 0;
   // Time of the cancelling in Unix milliseconds.
   std::int64_t cancelled_ms = 0;
+  // Tenant that cancelled it; empty if there is none.
+  std::string tenant;
 };
 // Removes a cancelled_record.
 struct remove_cancelled {
--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -138,13 +138,16 @@
   void RemoveHost(const host_id& host, time_point now);
 
   // --- calls ---
-  // Each produces one answer_call with the given number.
-  void Submit(call_number call, job_number job, std::string_view queue, job_spec spec,
-              time_point now, std::int64_t wall_ms);
+  // Each produces one answer_call with the given number. `tenant` is the tenant of the caller, or
+  // empty if there is none; jobs of another tenant are unknown to the caller.
+  // Errors: kNotReady, kMalformed, kTooLarge, kForbidden (another tenant has submitted the job),
+  // kQuotaExceeded (the job needs more at once than the quota of its tenant).
+  void Submit(call_number call, job_number job, std::string_view queue, std::string_view tenant,
+              job_spec spec, time_point now, std::int64_t wall_ms);
   // The answer kUnknownJob means that a submission of the job that arrives later will not run.
   // Errors: kUnknownJob, kNotReady, kOverloaded.
-  void Cancel(call_number call, job_number job, std::int64_t wall_ms);
-  void State(call_number call, job_number job);
+  void Cancel(call_number call, job_number job, std::string_view tenant, std::int64_t wall_ms);
+  void State(call_number call, job_number job, std::string_view tenant);
   // Returns whether the job was submitted before, and has not been removed since.
   bool Knows(job_number job) const;
   // Returns whether the job was cancelled before its submission.
--- a/packages/cell/src/cancels.cc
+++ b/packages/cell/src/cancels.cc
@@ -12,12 +12,12 @@
 }  // namespace
 
 void scheduler::state::RestoreCancel(const cancelled_record& record) {
-  early_cancels.emplace(record.job, early_cancel{record.cancelled_ms, 0});
+  early_cancels.emplace(record.job, early_cancel{record.cancelled_ms, 0, record.tenant});
   early_cancel_times.emplace(record.cancelled_ms, record.job);
 }
 
 // Cancels a job that was never submitted, as far as the owner knows.
-void scheduler::state::CancelUnknown(call_number call, job_number number) {
+void scheduler::state::CancelUnknown(call_number call, job_number number, std::string_view tenant) {
   const answer_call unknown{call, errc::kUnknownJob};
   if (const auto known = early_cancels.find(number); known != early_cancels.end()) {
     return Answer(unknown, known->second.sequence);
@@ -27,23 +27,25 @@
     refused.retry_after = kCancelRetryAfter;
     return Answer(refused, 0);
   }
-  const std::uint64_t written = Write(cancelled_record{number, wall_ms});
-  early_cancels.emplace(number, early_cancel{wall_ms, written});
+  const std::uint64_t written = Write(cancelled_record{number, wall_ms, std::string(tenant)});
+  early_cancels.emplace(number, early_cancel{wall_ms, written, std::string(tenant)});
   early_cancel_times.emplace(wall_ms, number);
   LogDecision(decision_kind::kJobCancelled, {number}, 0, {}, "it has not been submitted");
   Answer(unknown, written);
 }
 
 // Handles a submission whose cancelling came first: the job ends as cancelled, like one that was
-// cancelled after its submission. Returns false if the job was not cancelled.
-bool scheduler::state::SubmitCancelled(call_number call, job_number number,
-                                       std::string_view queue) {
+// cancelled after its submission. Returns false if the job was not cancelled, or by another tenant.
+bool scheduler::state::SubmitCancelled(call_number call, job_number number, std::string_view queue,
+                                       std::string_view tenant) {
   const auto found = early_cancels.find(number);
-  if (found == early_cancels.end()) return false;
+  if (found == early_cancels.end() || found->second.tenant != tenant) return false;
   early_cancel_times.erase({found->second.cancelled_ms, number});
   early_cancels.erase(found);
   job_entry& job = jobs[number];
   job.queue = queue;
+  job.tenant = tenants.IndexOf(tenant);
+  job.tenant_name = tenant;
   job.phase = job_phase::kCancelled;
   job.accepted_ms = job.ended_ms = wall_ms;
   WriteProgress(number, job);
--- a/packages/cell/src/fleet_config.cc
+++ b/packages/cell/src/fleet_config.cc
@@ -2,6 +2,22 @@
 
 namespace sycamorehinge::cell {
 
+bool fleet_config::IndexKeys() {
+  tenants_by_key.clear();
+  for (std::size_t index = 0; index < tenants.size(); ++index) {
+    for (const std::string& key : tenants[index].keys) {
+      const auto [found, added] = tenants_by_key.try_emplace(key, index);
+      if (key.empty() || found->second != index) return false;
+    }
+  }
+  return true;
+}
+
+const tenant_settings* fleet_config::FindTenantByKey(std::string_view key) const {
+  const auto found = tenants_by_key.find(std::string(key));
+  return found == tenants_by_key.end() ? nullptr : &tenants[found->second];
+}
+
 const queue_settings* fleet_config::FindQueue(std::string_view name) const {
   for (const queue_settings& queue : queues) {
     if (queue.name == name) return &queue;
--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -241,6 +241,7 @@
                                              const host_report& answer) {
   std::unordered_set<run_id> seen;
   hosts[slot].orphan_runs = 0;
+  hosts[slot].orphan_tenants.clear();
   for (const run_report& report : answer.running) {
     run_id id = FindRun(slot, report.task, report.run);
     if (id == kNoRun) {
@@ -274,8 +275,7 @@
   // A run that must be stopped still blocks its task from starting elsewhere until it ends.
   const bool only = !task.done && task.active_run == kNoRun;
   const step_spec& spec = SpecOf(*job, report.task.step);
-  const run_id id =
-      OpenRun(report.task, slot, ChargedResources(spec), report.run, run_phase::kRunning);
+  const run_id id = OpenRun(report.task, *job, slot, report.run, run_phase::kRunning);
   ConfirmRun(id);
   if (only) {
     task.active_run = id;
@@ -293,6 +293,7 @@
 void scheduler::state::StopOrphan(host_slot slot, const run_report& report) {
   host_state& host = hosts[slot];
   ++host.orphan_runs;
+  if (const job_entry* job = FindJob(report.task.job)) host.orphan_tenants.push_back(job->tenant);
   actions.emplace_back(
       stop_task{host.entry.id, host.entry.address, token, report.task, report.run});
 }
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "state.h"
+#include "sycamorehinge/cell/access.h"
 
 namespace sycamorehinge::cell {
 
@@ -54,12 +55,16 @@
                    job.spec = std::move(row.spec);
                    job.payload = std::make_shared<std::string>(std::move(job.spec.payload));
                    job.order = next_order++;
+                   job.tenant = tenants.IndexOf(row.tenant);
+                   job.tenant_name = std::move(row.tenant);
                  },
                  [&](progress_record& row) {
                    job_entry& job = jobs[row.job];
                    job.queue = std::move(row.queue);
                    job.phase = row.phase;
                    job.ended_ms = row.ended_ms;
+                   job.tenant = tenants.IndexOf(row.tenant);
+                   job.tenant_name = std::move(row.tenant);
                    if (job.Ended()) {
                      ended_jobs.emplace_back(job.ended_ms, row.job);
                    } else {
@@ -86,6 +91,7 @@
 void scheduler::state::SetConfig(std::shared_ptr<const fleet_config> next) {
   config = std::move(next);
   ++config_generation;
+  tenants.SetTenants(config->tenants);
   // The priority of a queue may have changed.
   for (waiting_key key : std::exchange(waiting, {})) {
     job_entry* job = FindJob(key.job);
@@ -122,25 +128,31 @@
 }
 
 void scheduler::state::Submit(call_number call, job_number number, std::string_view queue,
-                              job_spec spec, std::int64_t wall) {
+                              std::string_view tenant, job_spec spec, std::int64_t wall) {
   wall_ms = wall;
   if (!owner) return Answer({call, errc::kNotReady}, 0);
   if (const job_entry* known = FindJob(number)) {
+    if (known->tenant_name != tenant) return Answer({call, errc::kForbidden}, 0);
     return Answer({call, errc::kOk, known->phase}, known->accepted_sequence);
   }
   const bool known_queue = config->FindQueue(queue) != nullptr;
   errc code = known_queue ? ValidateSpec(spec) : errc::kNotReady;
-  accepted_record record{number, std::string(queue), wall, std::move(spec)};
+  if (code == errc::kOk && !QuotaCouldAllow(tenants.IndexOf(tenant), spec)) {
+    code = errc::kQuotaExceeded;
+  }
+  accepted_record record{number, std::string(queue), wall, std::move(spec), std::string(tenant)};
   if (code == errc::kOk && !FitsJournal(record)) code = errc::kTooLarge;
   if (code != errc::kOk) {
     LogDecision(decision_kind::kJobRefused, {number}, 0, {}, ErrorName(code));
     return Answer({call, code}, 0);
   }
-  if (SubmitCancelled(call, number, queue)) return;
+  if (SubmitCancelled(call, number, queue, tenant)) return;
   job_entry& job = jobs[number];
   job.queue = record.queue;
   job.accepted_ms = wall;
   job.order = next_order++;
+  job.tenant = tenants.IndexOf(tenant);
+  job.tenant_name = tenant;
   ++queued_jobs[job.queue];
   job.spec = record.spec;
   job.payload = std::make_shared<std::string>(std::move(job.spec.payload));
@@ -150,6 +162,14 @@
   LogDecision(decision_kind::kJobAccepted, {number}, 0, {}, queue);
 }
 
+// Returns whether the quota of the tenant is large enough for each task of the job, and for all
+// members of each gang at the same time.
+bool scheduler::state::QuotaCouldAllow(tenant_index tenant, const job_spec& spec) const {
+  return std::all_of(spec.steps.begin(), spec.steps.end(), [&](const step_spec& step) {
+    return tenants.CouldAllow(tenant, {step.size, step.gang ? step.count : 1});
+  });
+}
+
 // Returns whether the journal can store the job and its progress. Half of a record is left for the
 // numbers of failed runs.
 bool scheduler::state::FitsJournal(const accepted_record& record) const {
@@ -334,21 +354,23 @@
   ended_jobs.emplace_back(job.ended_ms, number);
 }
 
-void scheduler::state::Cancel(call_number call, job_number number, std::int64_t wall) {
+void scheduler::state::Cancel(call_number call, job_number number, std::string_view tenant,
+                              std::int64_t wall) {
   wall_ms = wall;
   if (!owner) return Answer({call, errc::kNotReady}, 0);
   job_entry* job = FindJob(number);
-  if (!job) return CancelUnknown(call, number);
+  if (!job) return CancelUnknown(call, number, tenant);
+  if (!MayReach(tenant, job->tenant_name)) return Answer({call, errc::kUnknownJob}, 0);
   if (!job->Ended()) {
     FinishJob(number, *job, job_phase::kCancelled, "the caller cancelled it");
   }
   Answer({call, errc::kOk, job->phase}, job->phase_sequence);
 }
 
-void scheduler::state::State(call_number call, job_number number) {
+void scheduler::state::State(call_number call, job_number number, std::string_view tenant) {
   if (!owner) return Answer({call, errc::kNotReady}, 0);
   const job_entry* job = FindJob(number);
-  if (!job) return Answer({call, errc::kUnknownJob}, 0);
+  if (!job || !MayReach(tenant, job->tenant_name)) return Answer({call, errc::kUnknownJob}, 0);
   // A new owner would not know of an end that is not yet in the journal, so such a job is still
   // reported as running.
   const bool early = job->Ended() && job->phase_sequence > durable;
--- a/packages/cell/src/journal.cc
+++ b/packages/cell/src/journal.cc
@@ -18,6 +18,7 @@
   record.phase = job.phase;
   record.ended_ms = job.ended_ms;
   record.next_occurrence = job.next_occurrence;
+  record.tenant = job.tenant_name;
   if (!job.Ended()) {
     for (const auto& [index, occurrence] : job.occurrences) {
       occurrence_progress open{index, {}};
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -29,10 +29,6 @@
   return slot < step.verdicts.size() && step.verdicts[slot].approved;
 }
 
-resources Multiply(const resources& size, std::uint32_t count) {
-  return {size.cores_milli * count, size.memory_mb * count, size.accelerators * count, 0};
-}
-
 }  // namespace
 
 std::uint32_t CopiesThatFit(const resources& free, const resources& size) {
@@ -64,9 +60,10 @@
   }
 }
 
-// Tries to place waiting steps in order of priority and age. Steps that are too late for the target
-// of their queue come after those of the same priority that are not, so that a backlog does not
-// make every later job miss its target too.
+// Tries to place waiting steps in order of priority and age. Within a priority, steps of tenants
+// that hold more than their share come last. Steps that are too late for the target of their queue
+// come after those that are not, so that a backlog does not make every later job miss its target
+// too.
 void scheduler::state::Pass() {
   if (!pass_needed || !owner || !may_start || now < next_pass) return;
   if (!MayGrantLeases()) return;
@@ -75,8 +72,10 @@
       now + kMinPassInterval + kPassIntervalPerStep * static_cast<std::int64_t>(waiting.size());
   UpdateMaxFree();
   UpdateHeadroom();
+  UpdateTenants();
   struct candidate {
     std::uint32_t priority;
+    bool over_share;
     bool late;
     waiting_key key;
   };
@@ -84,10 +83,12 @@
   candidates.reserve(waiting.size());
   for (const waiting_key& key : waiting) {
     const step_state* step = FindStep({key.job, key.occurrence, key.step, 0});
-    candidates.push_back({key.priority, step && now > step->latest_start, key});
+    const job_entry* job = FindJob(key.job);
+    candidates.push_back({key.priority, job && tenants.OverShare(job->tenant),
+                          step && now > step->latest_start, key});
   }
   std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-    return std::tie(a.priority, a.late) < std::tie(b.priority, b.late);
+    return std::tie(a.priority, a.over_share, a.late) < std::tie(b.priority, b.over_share, b.late);
   });
   if (candidates.size() > options.max_steps_per_pass) {
     candidates.resize(options.max_steps_per_pass);
@@ -114,6 +115,7 @@
   if (attempts_exhausted && !SpecOf(*job, key.step).long_running) {
     return FinishJob(key.job, *job, job_phase::kFailed, "a task failed too often");
   }
+  if (IsQuotaClosed(*job)) return LogWait(ref, *job, *step);
   if (!LeavesHeadroom(DemandOf(ref, *job, *step))) return LogWait(ref, *job, *step);
   if (SpecOf(*job, key.step).gang) {
     PlaceGang(ref, *job, *step);
@@ -155,6 +157,9 @@
     ++approved_hosts;
   }
   const std::size_t needed = wanted.spec->gang ? step.tasks.size() : 1;
+  const auto tasks = static_cast<std::uint32_t>(needed);
+  if (IsQuotaClosed(job) || !tenants.Allows(job.tenant, {wanted.spec->size, tasks}))
+    return "the tenant is at its quota";
   if (capacity < needed) return "no room";
   if (!LeavesHeadroom(wanted)) return "capacity is kept for more urgent queues";
   if (wanted.NeedsAdvice() && approved_capacity < needed) {
@@ -259,6 +264,7 @@
   const std::vector<std::uint32_t> indices = WaitingTasks(step);
   auto left = static_cast<std::uint32_t>(indices.size());
   for (const std::uint32_t index : indices) {
+    if (!QuotaAllows(wanted, job, 1)) return;
     const host_slot slot = BestHost(wanted, step.tasks[index]);
     // The tasks of a step are identical, so the remaining ones do not fit either.
     if (slot == kNoHost) break;
@@ -273,8 +279,7 @@
 void scheduler::state::StartTask(const task_ref& ref, job_entry& job, step_state& step,
                                  host_slot slot, std::uint32_t number) {
   task_state& task = step.tasks[ref.index];
-  const run_id id =
-      OpenRun(ref, slot, ChargedResources(SpecOf(job, ref.step)), number, run_phase::kStarting);
+  const run_id id = OpenRun(ref, job, slot, number, run_phase::kStarting);
   run_state& run = runs.at(id);
   task.active_run = id;
   ++step.active_runs;
@@ -341,6 +346,10 @@
 void scheduler::state::PlaceGang(const task_ref& ref, job_entry& job, step_state& step) {
   const demand wanted = DemandOf(ref, job, step);
   if (step.active_runs > 0 || WaitingTasks(step).size() != step.tasks.size()) return;
+  if (!QuotaAllows(wanted, job, static_cast<std::uint32_t>(step.tasks.size()))) {
+    ReleaseReservedCapacity(step, *wanted.spec);
+    return ReleaseReservedHosts(step);
+  }
   const auto chosen = ChooseGangHosts(wanted, true);
   if (chosen.empty()) {
     if (wanted.NeedsAdvice()) RequestAdviceForGang(ref, wanted, step);
--- a/packages/cell/src/records.cc
+++ b/packages/cell/src/records.cc
@@ -23,7 +23,8 @@
 }  // namespace
 
 std::size_t MaxEncodedBytes(const accepted_record& record) {
-  std::size_t bytes = kRecordBytes + TextBytes(record.queue) + TextBytes(record.spec.payload);
+  std::size_t bytes = kRecordBytes + TextBytes(record.queue) + TextBytes(record.tenant) +
+                      TextBytes(record.spec.payload);
   for (const step_spec& step : record.spec.steps) {
     bytes += kStepBytes + kNumberBytes * step.after.size() + TextBytes(step.label) +
              TextBytes(step.rack) + TextBytes(step.image);
@@ -32,7 +33,7 @@
 }
 
 std::size_t MaxEncodedBytes(const progress_record& record) {
-  std::size_t bytes = kRecordBytes + TextBytes(record.queue);
+  std::size_t bytes = kRecordBytes + TextBytes(record.queue) + TextBytes(record.tenant);
   for (const occurrence_progress& open : record.open) {
     bytes += kNumberBytes + CountBytes(open.steps.size());
     for (const std::vector<task_progress>& step : open.steps) {
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -74,18 +74,22 @@
   return kNoRun;
 }
 
-run_id scheduler::state::OpenRun(const task_ref& ref, host_slot slot, const resources& size,
+run_id scheduler::state::OpenRun(const task_ref& ref, const job_entry& job, host_slot slot,
                                  std::uint32_t number, run_phase phase) {
+  const step_spec& spec = SpecOf(job, ref.step);
   const run_id id = next_run++;
   run_state& run = runs[id];
   run.task = ref;
   run.number = number;
   run.host = slot;
-  run.size = size;
+  run.size = ChargedResources(spec);
+  run.tenant = job.tenant;
+  run.quota_size = spec.size;
   run.phase = phase;
   run.started = now;
   run.last_progress = now;
-  hosts[slot].allocated += size;
+  tenants.Acquire(run.tenant, run.quota_size);
+  hosts[slot].allocated += run.size;
   hosts[slot].runs.push_back(id);
   return id;
 }
@@ -98,6 +102,7 @@
   runs.erase(found);
   host_state& host = hosts[run.host];
   host.allocated -= run.size;
+  tenants.Release(run.tenant, run.quota_size);
   std::erase(host.runs, id);
   pass_needed = true;
   job_entry* job = FindJob(run.task.job);
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -88,18 +88,22 @@
   state_->RemoveHost(host);
 }
 
-void scheduler::Submit(call_number call, job_number job, std::string_view queue, job_spec spec,
-                       time_point now, std::int64_t wall_ms) {
+void scheduler::Submit(call_number call, job_number job, std::string_view queue,
+                       std::string_view tenant, job_spec spec, time_point now,
+                       std::int64_t wall_ms) {
   state_->now = now;
-  state_->Submit(call, job, queue, std::move(spec), wall_ms);
+  state_->Submit(call, job, queue, tenant, std::move(spec), wall_ms);
 }
 
-void scheduler::Cancel(call_number call, job_number job, std::int64_t wall_ms) {
-  state_->Cancel(call, job, wall_ms);
+void scheduler::Cancel(call_number call, job_number job, std::string_view tenant,
+                       std::int64_t wall_ms) {
+  state_->Cancel(call, job, tenant, wall_ms);
   state_->Pass();
 }
 
-void scheduler::State(call_number call, job_number job) { state_->State(call, job); }
+void scheduler::State(call_number call, job_number job, std::string_view tenant) {
+  state_->State(call, job, tenant);
+}
 
 bool scheduler::Knows(job_number job) const { return state_->jobs.contains(job); }
 
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "sycamorehinge/cell/scheduler.h"
+#include "tenants.h"
 
 namespace sycamorehinge::cell {
 
@@ -54,6 +55,9 @@
   std::uint32_t number = 0;
   host_slot host = kNoHost;
   resources size;
+  // What the run takes of the quota of its tenant.
+  tenant_index tenant = tenant_ledger::kNoTenant;
+  resources quota_size;
   run_phase phase = run_phase::kStarting;
   time_point started;
   // Polls sent before this time do not show whether the run is active.
@@ -125,6 +129,9 @@
 
 struct job_entry {
   std::string queue;
+  tenant_index tenant = tenant_ledger::kNoTenant;
+  // Empty if the job has no tenant.
+  std::string tenant_name;
   // Cached settings of the queue, and the configuration generation that they come from.
   const queue_settings* settings = nullptr;
   std::uint64_t settings_generation = 0;
@@ -153,6 +160,8 @@
   std::int64_t cancelled_ms = 0;
   // Journal sequence of its record.
   std::uint64_t sequence = 0;
+  // Tenant that cancelled it; empty if there is none.
+  std::string tenant;
 };
 
 struct host_state {
@@ -167,6 +176,8 @@
   std::vector<run_id> runs;
   // Number of reported runs that belong to no job. The host takes no tasks while there are any.
   std::size_t orphan_runs = 0;
+  // Tenants of these runs.
+  std::vector<tenant_index> orphan_tenants;
 
   // Highest end number processed here, and highest one whose records the journal holds.
   std::uint64_t processed_end = 0;
@@ -318,15 +329,16 @@
   // --- jobs (jobs.cc) ---
   void SetConfig(std::shared_ptr<const fleet_config> next);
   void Load(journal_record record);
-  void Submit(call_number call, job_number job, std::string_view queue, job_spec spec,
-              std::int64_t wall_ms);
-  void Cancel(call_number call, job_number job, std::int64_t wall_ms);
-  void State(call_number call, job_number job);
+  void Submit(call_number call, job_number job, std::string_view queue, std::string_view tenant,
+              job_spec spec, std::int64_t wall_ms);
+  void Cancel(call_number call, job_number job, std::string_view tenant, std::int64_t wall_ms);
+  void State(call_number call, job_number job, std::string_view tenant);
   void Pending(call_number call, std::string_view queue);
   void SetPhase(job_entry& job, job_phase phase);
   void Activate(job_number number, job_entry& job);
   void OpenOccurrence(job_number number, job_entry& job, std::uint32_t occurrence);
   bool FitsJournal(const accepted_record& record) const;
+  bool QuotaCouldAllow(tenant_index tenant, const job_spec& spec) const;
   bool MayOpenOccurrence(const job_entry& job) const;
   void OpenDueOccurrences(std::int64_t wall);
   void EnqueueReadySteps(job_number number, job_entry& job, std::uint32_t occurrence);
@@ -341,8 +353,9 @@
 
   // --- cancelled jobs that are not known (cancels.cc) ---
   void RestoreCancel(const cancelled_record& record);
-  void CancelUnknown(call_number call, job_number number);
-  bool SubmitCancelled(call_number call, job_number number, std::string_view queue);
+  void CancelUnknown(call_number call, job_number number, std::string_view tenant);
+  bool SubmitCancelled(call_number call, job_number number, std::string_view queue,
+                       std::string_view tenant);
   void RemoveExpiredCancels();
 
   // --- journal and answers (journal.cc) ---
@@ -399,7 +412,7 @@
   void CloseExpiredRuns(host_slot slot);
 
   // --- runs (runs.cc) ---
-  run_id OpenRun(const task_ref& ref, host_slot slot, const resources& size, std::uint32_t number,
+  run_id OpenRun(const task_ref& ref, const job_entry& job, host_slot slot, std::uint32_t number,
                  run_phase phase);
   void CloseRun(run_id id, std::string_view cause);
   void SendStart(run_id id);
@@ -423,6 +436,14 @@
   void StartRefused(run_id id, call_outcome outcome);
   run_id FindRun(host_slot slot, const task_ref& ref, std::uint32_t number) const;
 
+  // --- quotas (quotas.cc) ---
+  void UpdateTenants();
+  void UpdateUncertainUsage();
+  void UpdateEarlierUsage();
+  resources LargestCapacity() const;
+  bool QuotaAllows(const demand& wanted, const job_entry& job, std::uint32_t count);
+  bool IsQuotaClosed(const job_entry& job) const;
+
   // --- gangs (gangs.cc) ---
   duration GangStartLimit() const { return options.gang_timeout / 2; }
   void ExpectGang(const task_ref& ref, std::uint32_t run, time_point deadline);
@@ -528,6 +549,15 @@
   // Result of the last CheckGrants().
   bool grants_leases = false;
 
+  tenant_ledger tenants;
+  // Tenants whose quota is kept for a step that has waited for it, in the present pass.
+  std::vector<bool> closed_quotas;
+  // While recovering: resources of the tasks of each tenant that an earlier owner may have started,
+  // and the tenants whose ended jobs may still have runs, of unknown size.
+  std::vector<resources> earlier_usage;
+  std::vector<bool> earlier_usage_unknown;
+  time_point next_earlier_usage_at;
+
   std::unordered_map<job_number, job_entry> jobs;
   std::uint64_t next_order = 1;
   std::vector<job_number> dirty_jobs;
--- /dev/null
+++ b/packages/cell/src/tenants.cc
@@ -0,0 +1,62 @@
+#include "tenants.h"
+
+#include <algorithm>
+#include <string>
+
+namespace sycamorehinge::cell {
+
+tenant_ledger::tenant_ledger() : work_class_(accounting_.ClassOf({})) { IndexOf({}); }
+
+void tenant_ledger::SetTenants(std::span<const tenant_settings> tenants) {
+  std::vector<tenant_rule> rules;
+  rules.reserve(tenants.size());
+  for (const tenant_settings& tenant : tenants) {
+    tenant_rule& rule = rules.emplace_back();
+    rule.name = tenant.name;
+    rule.weight = tenant.weight;
+    rule.quota = tenant.quota;
+    IndexOf(tenant.name.value);
+  }
+  accounting_.SetTenantRules(rules);
+}
+
+tenant_index tenant_ledger::IndexOf(std::string_view name) {
+  const tenant_index index = accounting_.TenantOf(tenant_id{std::string(name)});
+  count_ = std::max<std::size_t>(count_, index + 1);
+  return index;
+}
+
+void tenant_ledger::Acquire(tenant_index tenant, const resources& size) {
+  accounting_.Acquire(work_class_, tenant, size);
+}
+
+void tenant_ledger::Release(tenant_index tenant, const resources& size) {
+  accounting_.Release(work_class_, tenant, size);
+}
+
+bool tenant_ledger::Allows(tenant_index tenant, const task_group& tasks) const {
+  resources wanted = Multiply(tasks.size, tasks.count);
+  if (tenant < uncertain_.size()) wanted += uncertain_[tenant];
+  return accounting_.QuotaAllows(tenant, wanted);
+}
+
+bool tenant_ledger::CouldAllow(tenant_index tenant, const task_group& tasks) const {
+  return accounting_.QuotaCouldAllow(tenant, Multiply(tasks.size, tasks.count));
+}
+
+void tenant_ledger::UpdateShares(const std::vector<bool>& waiting) {
+  over_share_.assign(count_, false);
+  std::vector<double> held(count_);
+  double weights = 0;
+  for (tenant_index tenant = 0; tenant < count_; ++tenant) {
+    held[tenant] = accounting_.TenantShare(work_class_, tenant);
+    const bool active = held[tenant] > 0 || (tenant < waiting.size() && waiting[tenant]);
+    if (active) weights += accounting_.TenantWeight(tenant);
+  }
+  // A tenant with the weight w has its share if it holds w / `weights` of the capacity.
+  for (tenant_index tenant = 0; tenant < count_; ++tenant) {
+    over_share_[tenant] = held[tenant] * weights > 1;
+  }
+}
+
+}  // namespace sycamorehinge::cell
--- a/packages/cell/tests/simulated_cell.cc
+++ b/packages/cell/tests/simulated_cell.cc
@@ -252,12 +252,14 @@
 
 // --- callers ---
 
-void simulated_cell::Submit(job_number job, const std::string& queue, job_spec spec) {
+void simulated_cell::Submit(job_number job, const std::string& queue, job_spec spec,
+                            std::string_view tenant) {
   const call_number call = next_call_++;
   calls_[call] = job;
   specs_[job] = spec;
   queue_of_[job] = queue;
-  if (owner) owner->Submit(call, job, queue, std::move(spec), now, wall_ms);
+  tenant_of_[job] = tenant;
+  if (owner) owner->Submit(call, job, queue, tenant, std::move(spec), now, wall_ms);
   PerformActions();
 }
 
@@ -265,7 +267,7 @@
   const call_number call = next_call_++;
   calls_[call] = job;
   answers_.erase(job);
-  if (owner) owner->Cancel(call, job, wall_ms);
+  if (owner) owner->Cancel(call, job, tenant_of_[job], wall_ms);
   PerformActions();
 }
 
@@ -276,14 +278,14 @@
 
 job_phase simulated_cell::Phase(job_number job) {
   const call_number call = next_call_++;
-  owner->State(call, job);
+  owner->State(call, job, tenant_of_[job]);
   PerformActions();
   return replies_[call].phase;
 }
 
 errc simulated_cell::StateCode(job_number job) {
   const call_number call = next_call_++;
-  owner->State(call, job);
+  owner->State(call, job, tenant_of_[job]);
   PerformActions();
   return replies_[call].code;
 }
--- a/packages/cell/tests/simulated_cell.h
+++ b/packages/cell/tests/simulated_cell.h
@@ -99,7 +99,8 @@
   void RestartHost(const std::string& name);
 
   // --- callers ---
-  void Submit(job_number job, const std::string& queue, job_spec spec);
+  void Submit(job_number job, const std::string& queue, job_spec spec,
+              std::string_view tenant = {});
   void Cancel(job_number job);
   // Returns the last answer to a submission or cancellation, or kInternal if there is none yet.
   errc AnswerTo(job_number job) const;
@@ -184,6 +185,7 @@
   bool flushing_ = false;
   std::map<job_number, job_spec> specs_;
   std::map<job_number, std::string> queue_of_;
+  std::map<job_number, std::string> tenant_of_;
   std::map<call_number, job_number> calls_;
   std::map<job_number, errc> answers_;
   std::map<call_number, answer_call> replies_;
--- a/packages/control/src/cell_owner_calls.cc
+++ b/packages/control/src/cell_owner_calls.cc
@@ -70,18 +70,20 @@
     }
     const cell::call_number number = s.next_call++;
     s.open_calls.emplace(number, open_call{std::move(reply), now, KindOf(call.call)});
-    std::visit(
-        overloaded{
-            [&](const submit_call& submit) {
-              s.scheduler->Submit(number, submit.job, submit.queue, submit.spec, now,
-                                  port_.wall_ms());
-            },
-            [&](const cancel_call& cancel) {
-              s.scheduler->Cancel(number, cancel.job, port_.wall_ms());
-            },
-            [&](const job_state_call& asked) { s.scheduler->State(number, asked.job); },
-            [&](const pending_jobs_call& pending) { s.scheduler->Pending(number, pending.queue); }},
-        call.call);
+    std::visit(overloaded{[&](const submit_call& submit) {
+                            s.scheduler->Submit(number, submit.job, submit.queue, submit.tenant,
+                                                submit.spec, now, port_.wall_ms());
+                          },
+                          [&](const cancel_call& cancel) {
+                            s.scheduler->Cancel(number, cancel.job, cancel.tenant, port_.wall_ms());
+                          },
+                          [&](const job_state_call& asked) {
+                            s.scheduler->State(number, asked.job, asked.tenant);
+                          },
+                          [&](const pending_jobs_call& pending) {
+                            s.scheduler->Pending(number, pending.queue);
+                          }},
+               call.call);
   });
 }
 
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -70,15 +70,15 @@
 
 template <class Archive>
 void serialize(Archive& archive, submit_call& value) {
-  SerializeFields(archive, value.job, value.queue, value.spec);
+  SerializeFields(archive, value.job, value.queue, value.spec, value.tenant);
 }
 template <class Archive>
 void serialize(Archive& archive, cancel_call& value) {
-  SerializeFields(archive, value.job);
+  SerializeFields(archive, value.job, value.tenant);
 }
 template <class Archive>
 void serialize(Archive& archive, job_state_call& value) {
-  SerializeFields(archive, value.job);
+  SerializeFields(archive, value.job, value.tenant);
 }
 template <class Archive>
 void serialize(Archive& archive, pending_jobs_call& value) {
@@ -127,7 +127,9 @@
 
 // Versions of records in the journal, and of calls and answers between processes.
 constexpr std::uint8_t kRecordVersion = 1;
-constexpr std::uint8_t kCallVersion = 2;
+// The record is followed by the tenant of the job.
+constexpr std::uint8_t kTenantRecordVersion = 2;
+constexpr std::uint8_t kCallVersion = 3;
 constexpr std::size_t kMaxBytes = std::size_t{4} << 20;
 
 // What the scheduler writes can be read again.
@@ -148,6 +150,23 @@
   return EncodeVersioned(kRecordVersion, value);
 }
 
+// A record with the tenant that owns it, which version 1 does not have.
+template <class Record>
+struct tenant_record {
+  Record record;
+};
+template <class Archive, class Record>
+void serialize(Archive& archive, tenant_record<Record>& value) {
+  SerializeFields(archive, value.record, value.record.tenant);
+}
+
+// Records without a tenant stay readable for processes that know no tenants.
+template <class Record>
+std::string EncodeOwned(const Record& record) {
+  if (record.tenant.empty()) return Encode(record);
+  return EncodeVersioned(kTenantRecordVersion, tenant_record<Record>{record});
+}
+
 template <class Value>
 errc DecodeInto(std::string_view bytes, Value& value) {
   return DecodeVersioned(kRecordVersion, kMaxBytes, bytes, value);
@@ -178,10 +197,14 @@
 
 template <class Record>
 result<cell::journal_record> DecodeJobRecord(std::string_view key, std::string_view value) {
-  Record record;
-  if (!ParseJobKey(key, record.job)) return errc::kMalformed;
-  if (const errc code = DecodeInto(value, record); code != errc::kOk) return code;
-  return cell::journal_record(std::move(record));
+  tenant_record<Record> owned;
+  cell::job_number job = 0;
+  if (!ParseJobKey(key, job)) return errc::kMalformed;
+  errc code = DecodeVersioned(kTenantRecordVersion, kMaxBytes, value, owned);
+  if (code == errc::kWrongVersion) code = DecodeInto(value, owned.record);
+  if (code != errc::kOk) return code;
+  owned.record.job = job;
+  return cell::journal_record(std::move(owned.record));
 }
 
 }  // namespace
@@ -203,10 +226,10 @@
                           out.push_back({std::string(1, kGrantersKey), Encode(row)});
                         },
                         [&](const cell::accepted_record& row) {
-                          out.push_back({JobKey(kAcceptedKey, row.job), Encode(row)});
+                          out.push_back({JobKey(kAcceptedKey, row.job), EncodeOwned(row)});
                         },
                         [&](const cell::progress_record& row) {
-                          out.push_back({JobKey(kProgressKey, row.job), Encode(row)});
+                          out.push_back({JobKey(kProgressKey, row.job), EncodeOwned(row)});
                         },
                         [&](const cell::remove_accepted_job& row) {
                           out.push_back({JobKey(kAcceptedKey, row.job), std::nullopt});
@@ -215,7 +238,7 @@
                           out.push_back({JobKey(kProgressKey, row.job), std::nullopt});
                         },
                         [&](const cell::cancelled_record& row) {
-                          out.push_back({JobKey(kCancelledKey, row.job), Encode(row)});
+                          out.push_back({JobKey(kCancelledKey, row.job), EncodeOwned(row)});
                         },
                         [&](const cell::remove_cancelled& row) {
                           out.push_back({JobKey(kCancelledKey, row.job), std::nullopt});
--- a/packages/core/include/sycamorehinge/core/shares.h
+++ b/packages/core/include/sycamorehinge/core/shares.h
@@ -41,6 +41,8 @@
   tenant_index TenantOf(const tenant_id& name);
 
   void SetRules(const environment_document& document);
+  // Replaces the rules of all tenants. A tenant without a rule has no quota and the weight 1.
+  void SetTenantRules(std::span<const tenant_rule> rules);
   bool HasRules() const { return has_rules_; }
   void SetCapacity(const resources& capacity);
   const resources& Capacity() const { return capacity_; }
@@ -61,6 +63,7 @@
   const class_usage& Class(class_index work_class) const { return classes_[work_class]; }
   // Dominant share that a tenant holds in a class, divided by the tenant's weight.
   double TenantShare(class_index work_class, tenant_index tenant) const;
+  double TenantWeight(tenant_index tenant) const;
   // Whether the tenant's quota allows `size` in addition to what the tenant holds.
   bool QuotaAllows(tenant_index tenant, const resources& size) const;
   // Whether the tenant's quota would allow `size` if the tenant held nothing.
--- a/packages/core/src/shares.cc
+++ b/packages/core/src/shares.cc
@@ -79,12 +79,16 @@
     standing.rule = rule;
     standing.has_rule = true;
   }
+  SetTenantRules(document.tenants);
+}
+
+void share_accounting::SetTenantRules(std::span<const tenant_rule> rules) {
   for (tenant_usage& standing : tenants_) {
     const tenant_id name = standing.rule.name;
     standing.rule = tenant_rule{};
     standing.rule.name = name;
   }
-  for (const tenant_rule& rule : document.tenants) tenants_[TenantOf(rule.name)].rule = rule;
+  for (const tenant_rule& rule : rules) tenants_[TenantOf(rule.name)].rule = rule;
 }
 
 void share_accounting::SetCapacity(const resources& capacity) {
@@ -116,8 +120,11 @@
 double share_accounting::TenantShare(class_index work_class, tenant_index tenant) const {
   const class_usage& standing = classes_[work_class];
   if (tenant >= standing.tenants.size()) return 0;
-  const double weight = std::max(tenants_[tenant].rule.weight, 1e-6);
-  return DominantShare(standing.tenants[tenant], capacity_) / weight;
+  return DominantShare(standing.tenants[tenant], capacity_) / TenantWeight(tenant);
+}
+
+double share_accounting::TenantWeight(tenant_index tenant) const {
+  return std::max(tenants_[tenant].rule.weight, 1e-6);
 }
 
 bool share_accounting::QuotaAllows(tenant_index tenant, const resources& size) const {
