cell: tests of tenants; members of a gang succeed together in the fake hosts

Cause: quotas had no test. In the fake hosts, members of a gang went on after another one had succeeded; the platform ends them together, so the quota check saw runs that cannot exist.

Change: tests of keys, quotas and shares; random histories with tenants, quotas that change and a check of the quota at each start; fake hosts end a gang as a whole.

--- a/packages/cell/include/sycamorehinge/cell/fleet_config.h
+++ b/packages/cell/include/sycamorehinge/cell/fleet_config.h
@@ -61,7 +61,7 @@
   // 0 is the highest priority.
   std::uint32_t priority = 0;
   // Resources that the tasks of the tenant may hold at the same time on all hosts; 0 for no limit.
-  resources quota;
+  resources quota{};
 };
 
 // Limits of the requests of callers. 0 if the operators set no limit.
--- a/packages/cell/include/sycamorehinge/cell/records.h
+++ b/packages/cell/include/sycamorehinge/cell/records.h
@@ -31,7 +31,7 @@
   std::int64_t accepted_ms = 0;
   job_spec spec;
   // Tenant that submitted the job; empty if there is none.
-  std::string tenant;
+  std::string tenant{};
 };
 
 struct task_progress {
@@ -57,7 +57,7 @@
   std::uint32_t next_occurrence = 0;
   std::vector<occurrence_progress> open;
   // As in accepted_record, which is removed when the job ends.
-  std::string tenant;
+  std::string tenant{};
 };
 
 // Removes the accepted_record of a job that has ended.
@@ -75,7 +75,7 @@
   // Time of the cancelling in Unix milliseconds.
   std::int64_t cancelled_ms = 0;
   // Tenant that cancelled it; empty if there is none.
-  std::string tenant;
+  std::string tenant{};
 };
 // Removes a cancelled_record.
 struct remove_cancelled {
--- a/packages/cell/tests/simulated_cell.h
+++ b/packages/cell/tests/simulated_cell.h
@@ -1,6 +1,7 @@
 // Runs a scheduler against fake hosts, a fake journal and a fake policy service on a simulated
 // clock. The hosts check the safety rules: no more tasks than capacity, one run of a task at a
-// time, no start after success, and no start after the last allowed failure.
+// time, no start after success, no start after the last allowed failure, and no more tasks of a
+// tenant than its quota.
 #ifndef SYCAMOREHINGE_CELL_TESTS_SIMULATED_CELL_H_
 #define SYCAMOREHINGE_CELL_TESTS_SIMULATED_CELL_H_
 
@@ -85,6 +86,10 @@
   // The queue needs no advice unless the test sets `advice`.
   queue_settings& AddQueue(std::string name, std::uint32_t priority = 0,
                            std::uint32_t max_attempts = 3);
+  tenant_settings& AddTenant(std::string name, const resources& quota, double weight = 1);
+  // Applies a configuration with another quota. Starts that are on their way may still take effect
+  // under the larger one.
+  void ChangeQuota(const std::string& tenant, const resources& quota);
   // Applies a configuration with another priority for the queue.
   void ChangePriority(const std::string& queue, std::uint32_t priority);
   // Applies a configuration without the queue.
@@ -106,6 +111,8 @@
   errc AnswerTo(job_number job) const;
   job_phase Phase(job_number job);
   errc StateCode(job_number job);
+  // Later calls about the job are made by a caller of this tenant.
+  void SetTenantOf(job_number job, std::string_view tenant) { tenant_of_[job] = tenant; }
   std::uint64_t PendingJobs(const std::string& queue);
 
   // --- time ---
@@ -149,6 +156,8 @@
   // Time left of the host's lease, on its clock.
   duration LeaseLeft(const std::string& name) const;
   std::uint32_t Running(job_number job) const;
+  // Resources of the running tasks of the tenant on all hosts.
+  resources Held(const std::string& tenant) const;
 
  private:
   void After(duration delay, std::function<void()> task);
@@ -166,10 +175,12 @@
   void FlushJournal();
   void TickHosts();
   void EndRun(fake_host& host, const std::pair<task_ref, std::uint32_t>& key, end_kind kind);
+  void EndGang(const std::pair<task_ref, std::uint32_t>& first);
   void ExtendLease(fake_host& host, std::int64_t deadline_ms) const;
   void AcknowledgeEnds(fake_host& host, std::uint64_t up_to);
   void CheckTask(const task_ref& task);
   void CheckStart(const fake_host& host, const start_task& start, const fake_run& run);
+  void CheckQuota(const start_task& start, const step_spec& spec);
   std::int64_t ClockOf(const fake_host& host) const;
   const step_spec* SpecOf(const task_ref& task) const;
   std::uint64_t NextRandom();
@@ -186,6 +197,8 @@
   std::map<job_number, job_spec> specs_;
   std::map<job_number, std::string> queue_of_;
   std::map<job_number, std::string> tenant_of_;
+  // Quota of each tenant before its last change, and the time until which it counts.
+  std::map<std::string, std::pair<resources, time_point>> earlier_quotas_;
   std::map<call_number, job_number> calls_;
   std::map<job_number, errc> answers_;
   std::map<call_number, answer_call> replies_;
--- a/packages/control/include/sycamorehinge/control/calls.h
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -22,15 +22,15 @@
   cell::job_number job = 0;
   std::string queue;
   cell::job_spec spec;
-  std::string tenant;
+  std::string tenant{};
 };
 struct cancel_call {
   cell::job_number job = 0;
-  std::string tenant;
+  std::string tenant{};
 };
 struct job_state_call {
   cell::job_number job = 0;
-  std::string tenant;
+  std::string tenant{};
 };
 // Asks for the number of jobs in the queue of which no task has started.
 struct pending_jobs_call {
