cell, control: submissions that cannot be stored are refused at once

Change: an outage counts as known after five times the average answer time, between 300 ms and 1 s, instead of always 1 s. The owner then withdraws the submissions that were in no append attempt and refuses them as not run. Retry times of refused calls are spread by half either way. New event submissions_withdrawn.

--- a/packages/cell/include/sycamorehinge/cell/actions.h
+++ b/packages/cell/include/sycamorehinge/cell/actions.h
@@ -27,6 +27,10 @@
   journal_record record;
 };
 
+// Returns a time between half and one and a half times `retry_after` that depends on the key, so
+// that callers refused at the same time do not return at the same time.
+duration SpreadRetry(duration retry_after, std::uint64_t key);
+
 // The only response to a call.
 struct answer_call {
   call_number call = 0;
--- a/packages/cell/src/journal.cc
+++ b/packages/cell/src/journal.cc
@@ -6,6 +6,12 @@
 
 namespace sycamorehinge::cell {
 
+duration SpreadRetry(duration retry_after, std::uint64_t key) {
+  constexpr std::uint64_t kSteps = 1024;
+  const std::uint64_t step = StableHash(std::to_string(key)) % kSteps;
+  return retry_after / 2 + retry_after * static_cast<std::int64_t>(step) / kSteps;
+}
+
 std::uint64_t scheduler::state::Write(journal_record record) {
   actions.emplace_back(write_record{++sequence, std::move(record)});
   return sequence;
@@ -99,6 +105,38 @@
   }
 }
 
+std::vector<std::uint64_t> scheduler::state::OpenSubmissions() const {
+  std::vector<std::uint64_t> records;
+  for (const auto& [record, number] : deferred_jobs) {
+    const auto found = jobs.find(number);
+    if (found != jobs.end() && !found->second.Ended()) records.push_back(record);
+  }
+  return records;
+}
+
+void scheduler::state::RefuseSubmissions(std::span<const std::uint64_t> records,
+                                         duration retry_after) {
+  const auto refused = [&](std::uint64_t record) {
+    return std::find(records.begin(), records.end(), record) != records.end();
+  };
+  std::erase_if(deferred_answers, [&](const auto& entry) {
+    if (!refused(entry.first)) return false;
+    answer_call answer{entry.second.call, errc::kLogUnavailable};
+    answer.retry_after = SpreadRetry(retry_after, answer.call);
+    actions.emplace_back(answer);
+    return true;
+  });
+  std::erase_if(deferred_jobs, [&](const auto& entry) {
+    if (!refused(entry.first)) return false;
+    const auto found = jobs.find(entry.second);
+    --queued_jobs[found->second.queue];
+    jobs.erase(found);
+    LogDecision(decision_kind::kJobRefused, {entry.second}, 0, {},
+                ErrorName(errc::kLogUnavailable));
+    return true;
+  });
+}
+
 void scheduler::state::LogDecision(decision_kind kind, const task_ref& task, std::uint32_t run,
                                    std::string_view host, std::string_view cause, duration age) {
   actions.emplace_back(log_decision{kind, task, run, std::string(host), std::string(cause), age});
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -111,6 +111,14 @@
 
 void scheduler::Pending(call_number call, std::string_view queue) { state_->Pending(call, queue); }
 
+std::vector<std::uint64_t> scheduler::OpenSubmissions() const { return state_->OpenSubmissions(); }
+
+void scheduler::RefuseSubmissions(std::span<const std::uint64_t> sequences, duration retry_after,
+                                  time_point now) {
+  state_->now = now;
+  state_->RefuseSubmissions(sequences, retry_after);
+}
+
 void scheduler::OnPollResult(const host_id& host, time_point sent, call_outcome outcome,
                              const host_report* answer, time_point now) {
   state_->now = now;
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -334,6 +334,8 @@
   void Cancel(call_number call, job_number job, std::string_view tenant, std::int64_t wall_ms);
   void State(call_number call, job_number job, std::string_view tenant);
   void Pending(call_number call, std::string_view queue);
+  std::vector<std::uint64_t> OpenSubmissions() const;
+  void RefuseSubmissions(std::span<const std::uint64_t> records, duration retry_after);
   void SetPhase(job_entry& job, job_phase phase);
   void Activate(job_number number, job_entry& job);
   void OpenOccurrence(job_number number, job_entry& job, std::uint32_t occurrence);
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -462,6 +462,7 @@
     if (!s.HasBegun() || s.epoch != epoch) return;
     s.last_tick = now;
     EndUnconfirmedReads(s, out);
+    RefuseInOutage(s, now);
     s.longest_tick_delay = std::max(s.longest_tick_delay, now - due);
     s.scheduler->Tick(now, port_.wall_ms());
     if (s.journal->OldestAppendAge(now) >= kStalledAppendLimit &&
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -148,6 +148,7 @@
   static time_point NeededConfirmation(const open_call& call, errc code);
   static void SendAnswer(state& s, const cell::answer_call& answer, effects& out);
   void EndUnconfirmedReads(state& s, effects& out);
+  void RefuseInOutage(state& s, time_point now);
   static void CountAction(const cell::action& action, call_counts& sent);
   void Execute(const effect& item);
 
--- a/packages/control/src/cell_owner_calls.cc
+++ b/packages/control/src/cell_owner_calls.cc
@@ -63,8 +63,10 @@
     const time_point now = port_.now();
     const duration outage = s.journal->OutageAge(now);
     if (outage > duration::zero() && NeedsNewRecord(*s.scheduler, call.call)) {
-      out.push_back({s.epoch, std::nullopt, [reply = std::move(reply), outage] {
-                       reply(ErrorAnswer(errc::kLogUnavailable, RetryAfterOutage(outage)));
+      const duration retry_after =
+          cell::SpreadRetry(RetryAfterOutage(outage), call.attempt.call_number);
+      out.push_back({s.epoch, std::nullopt, [reply = std::move(reply), retry_after] {
+                       reply(ErrorAnswer(errc::kLogUnavailable, retry_after));
                      }});
       return;
     }
@@ -87,6 +89,20 @@
   });
 }
 
+// Refuses submissions whose records wait behind an append that the store does not answer. Nothing
+// of them was sent to the store, so they can be refused as not run instead of being held.
+void cell_owner::RefuseInOutage(state& s, time_point now) {
+  const duration outage = s.journal->OutageAge(now);
+  if (outage == duration::zero()) return;
+  const std::vector<std::uint64_t> withdrawn = s.journal->Withdraw(s.scheduler->OpenSubmissions());
+  if (withdrawn.empty()) return;
+  log_.Write(event_number::kSubmissionsWithdrawn,
+             {{"epoch", s.epoch},
+              {"count", std::uint64_t{withdrawn.size()}},
+              {"outage_ms", std::int64_t{outage.count() / 1000}}});
+  s.scheduler->RefuseSubmissions(withdrawn, RetryAfterOutage(outage), now);
+}
+
 // Returns the time at which this process must have owned the cell for the answer to be true. An
 // owner that was replaced without knowing it does not know which jobs the next one has accepted.
 time_point cell_owner::NeededConfirmation(const open_call& call, errc code) {
--- a/packages/control/src/journal_writer.cc
+++ b/packages/control/src/journal_writer.cc
@@ -17,10 +17,12 @@
 // Bounds the time for which records wait once the store is back.
 constexpr duration kMaxRetryDelay = std::chrono::milliseconds(400);
 constexpr duration kMaxFirstRetryDelay = std::chrono::milliseconds(1200);
-// Time after which an append that fails, or one without an answer, means an outage. A slow store
-// answers in 400 ms.
+// Time after which an append that keeps failing means an outage.
 constexpr duration kFailingLimit = std::chrono::milliseconds(300);
-constexpr duration kSilentLimit = std::chrono::milliseconds(1000);
+// An append without an answer for this multiple of the average answer time means an outage, so that
+// callers learn of one soon. A store that is only slow answers in 400 ms.
+constexpr int kOutageAnswerTimes = 5;
+constexpr duration kMaxSilentLimit = std::chrono::milliseconds(1000);
 // Bounds the time until a writer is confirmed again once the store is back.
 constexpr duration kConfirmationCheckInterval = std::chrono::milliseconds(250);
 // An append of records that is sent meanwhile confirms as well; limits the additional ones.
@@ -173,7 +175,22 @@
   const std::lock_guard lock(mutex_);
   if (!sending_) return {};
   const duration age = now - batch_started_;
-  return age >= (available_ ? kSilentLimit : kFailingLimit) ? age : duration();
+  return age >= (available_ ? SilentLimit() : kFailingLimit) ? age : duration();
+}
+
+duration journal_writer::SilentLimit() const {
+  return std::clamp(answer_time_ * kOutageAnswerTimes, kFailingLimit, kMaxSilentLimit);
+}
+
+std::vector<std::uint64_t> journal_writer::Withdraw(std::span<const std::uint64_t> sequences) {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::uint64_t> withdrawn;
+  std::erase_if(pending_, [&](const auto& entry) {
+    if (std::find(sequences.begin(), sequences.end(), entry.first) == sequences.end()) return false;
+    withdrawn.push_back(entry.first);
+    return true;
+  });
+  return withdrawn;
 }
 
 void journal_writer::Stop() {
--- a/packages/control/src/journal_writer.h
+++ b/packages/control/src/journal_writer.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -54,6 +55,9 @@
   // Returns how long the store has stored nothing, if a record added now would probably not become
   // durable soon; otherwise zero.
   duration OutageAge(time_point now);
+  // Removes the records with these sequences that have not been part of an append attempt, and
+  // returns their sequences. Nothing of them has been or will be stored.
+  std::vector<std::uint64_t> Withdraw(std::span<const std::uint64_t> sequences);
   // Drops pending records; their handlers do not run.
   void Stop();
 
@@ -77,6 +81,7 @@
   void SendConfirmation();
   void OnConfirmation(errc code, time_point sent);
   duration RetryDelay(std::uint32_t attempt) const;
+  duration SilentLimit() const;
   void UpdateAnswerTime(time_point sent);
   errc ClassifyOutcome(const result<std::uint64_t>& outcome) const;
 
--- a/packages/telemetry/include/sycamorehinge/telemetry/events.h
+++ b/packages/telemetry/include/sycamorehinge/telemetry/events.h
@@ -113,6 +113,7 @@
   kLeasesPaused,
   kOwnerSilent,
   kOwnerAnswers,
+  kSubmissionsWithdrawn,
   // Decisions about jobs and tasks of the cell.
   kCellJobAccepted = 8101,
   kCellJobRefused,
--- a/packages/telemetry/src/event_catalogue.cc
+++ b/packages/telemetry/src/event_catalogue.cc
@@ -235,6 +235,10 @@
                       "look for owner_answers or owner_learned; else check the network"},
     event_description{kOwnerAnswers, kInfo, "owner_answers",
                       "the owner of the cell answers this process again", "none"},
+    event_description{kSubmissionsWithdrawn, kWarning, "submissions_withdrawn",
+                      "the store does not answer; submissions that were not sent to it yet are "
+                      "refused, and their callers told when to return",
+                      "check the platform's store"},
     event_description{kCellJobAccepted, kInfo, "job_accepted",
                       "a job was accepted and is written to the journal", "none"},
     event_description{kCellJobRefused, kInfo, "job_refused", "a job was refused and will not run",
