cell: admission by expected wait, and work without use goes last

Cause: every job was accepted. A tenant at several times its rate was served like the others.

Refused callers get the next expected starts as retry times. Submissions beyond a tenant's weight per second come after the others. Steps whose result can be of no use any more come last.

--- a/packages/cell/src/headroom.cc
+++ b/packages/cell/src/headroom.cc
@@ -10,6 +10,8 @@
 
 // Decay time of the rates of task starts.
 constexpr duration kStartRateTime = std::chrono::seconds(1);
+// Decay time of the rates at which steps of a queue start.
+constexpr duration kQueueRateTime = std::chrono::seconds(3);
 // Time until the next capacity is freed for an urgent task.
 constexpr duration kHeadroomTime = std::chrono::milliseconds(350);
 // Largest headroom, as fractions of the capacity.
@@ -30,6 +32,17 @@
   }
 }
 
+void queue_rate::Decay(time_point now) {
+  starts *= std::exp(-std::chrono::duration<double>(now - updated) /
+                     std::chrono::duration<double>(kQueueRateTime));
+  updated = now;
+}
+
+void queue_rate::CountStart(time_point now) {
+  Decay(now);
+  starts += 1 / std::chrono::duration<double>(kQueueRateTime).count();
+}
+
 // Computes for each service and priority what its steps leave free for more urgent ones: what those
 // start within `kHeadroomTime`, since a long task would take the capacity that an urgent one needs
 // at once, and what their gangs wait for, since a gang needs all of it at the same time.
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -1,5 +1,6 @@
 // Jobs: submission, activation, ready steps, completion and queries.
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "state.h"
@@ -11,6 +12,8 @@
 
 // The target of a job includes one request to the policy service on this many hosts for each step.
 constexpr std::int64_t kHostsInTarget = 30;
+// A result later than this many times the target is of no use to the caller.
+constexpr std::int64_t kUsefulTargets = 3;
 
 void Restore(job_entry& job, const progress_record& record) {
   job.next_occurrence = record.next_occurrence;
@@ -42,6 +45,30 @@
   return true;
 }
 
+// Returns the length of the longest chain of steps that begins with each step.
+std::vector<duration> ChainsOf(std::span<const step_spec> steps, const queue_settings& queue) {
+  std::vector<duration> chains(steps.size());
+  for (std::size_t i = steps.size(); i-- > 0;) {
+    chains[i] += steps[i].run_time;
+    if (queue.advice) {
+      chains[i] += queue.advice->decision_time + kHostsInTarget * queue.advice->time_per_host;
+    }
+    for (const std::uint32_t earlier : steps[i].after) {
+      chains[earlier] = std::max(chains[earlier], chains[i]);
+    }
+  }
+  return chains;
+}
+
+// The target of a job is its longest chain of steps times the stretch of the queue, plus the
+// latency target of the queue.
+duration TargetOf(std::span<const duration> chains, const queue_settings& queue) {
+  const duration longest = *std::max_element(chains.begin(), chains.end());
+  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(longest) *
+                                              queue.stretch) +
+         queue.latency_target;
+}
+
 }  // namespace
 
 void scheduler::state::Load(journal_record record) {
@@ -142,9 +169,11 @@
   }
   accepted_record record{number, std::string(queue), wall, std::move(spec), std::string(tenant)};
   if (code == errc::kOk && !FitsJournal(record)) code = errc::kTooLarge;
-  if (code != errc::kOk) {
-    LogDecision(decision_kind::kJobRefused, {number}, 0, {}, ErrorName(code));
-    return Answer({call, code}, 0);
+  answer_call refusal{call, code};
+  if (code == errc::kOk) refusal = Admit(call, record);
+  if (refusal.code != errc::kOk) {
+    LogDecision(decision_kind::kJobRefused, {number}, 0, {}, ErrorName(refusal.code));
+    return Answer(refusal, 0);
   }
   if (SubmitCancelled(call, number, queue, tenant)) return;
   job_entry& job = jobs[number];
@@ -153,6 +182,7 @@
   job.order = next_order++;
   job.tenant = tenants.IndexOf(tenant);
   job.tenant_name = tenant;
+  job.over_rate = tenants.OverRate(job.tenant);
   ++queued_jobs[job.queue];
   job.spec = record.spec;
   job.payload = std::make_shared<std::string>(std::move(job.spec.payload));
@@ -162,6 +192,49 @@
   LogDecision(decision_kind::kJobAccepted, {number}, 0, {}, queue);
 }
 
+// Decides whether a new job can still end in time. The code of the answer is kOk if so.
+answer_call scheduler::state::Admit(call_number call, const accepted_record& record) {
+  answer_call answer{call};
+  if (!config->HasTenants()) return answer;
+  const tenant_index tenant = tenants.IndexOf(record.tenant);
+  tenants.CountSubmission(tenant, now);
+  const queue_settings& queue = *config->FindQueue(record.queue);
+  const bool lasts = std::any_of(record.spec.steps.begin(), record.spec.steps.end(),
+                                 [](const step_spec& step) { return step.long_running; });
+  if (lasts || record.spec.occurrences > 0) return answer;
+  const std::vector<duration> chains = ChainsOf(record.spec.steps, queue);
+  const admission_request request{*std::max_element(chains.begin(), chains.end()),
+                                  TargetOf(chains, queue), tenants.OverRate(tenant)};
+  const queue_load load = LoadOf(record.queue);
+  std::visit(overloaded{[](const admitted&) {},
+                        [&](const refused& decision) {
+                          answer.code = errc::kOverloaded;
+                          answer.retry_after =
+                              queue_rates[record.queue].returns.NextReturn(decision, load, now);
+                        }},
+             DecideAdmission(request, load));
+  return answer;
+}
+
+queue_load scheduler::state::LoadOf(std::string_view queue) {
+  queue_load load;
+  duration ages{};
+  for (const waiting_key& key : waiting) {
+    const job_entry* job = FindJob(key.job);
+    const step_state* step = FindStep({key.job, key.occurrence, key.step, 0});
+    if (!job || !step || job->queue != queue || now > step->latest_useful_start) continue;
+    ++load.waiting_steps;
+    ages += now - step->ready_since;
+  }
+  if (load.waiting_steps > 0) {
+    load.mean_age = ages / static_cast<std::int64_t>(load.waiting_steps);
+  }
+  queue_rate& rate = queue_rates[std::string(queue)];
+  rate.Decay(now);
+  load.starts_per_second = rate.starts;
+  return load;
+}
+
 // Returns whether the quota of the tenant is large enough for each task of the job, and for all
 // members of each gang at the same time.
 bool scheduler::state::QuotaCouldAllow(tenant_index tenant, const job_spec& spec) const {
@@ -245,32 +318,19 @@
   }
 }
 
-// The target of a job is its longest chain of steps times the stretch of the queue, plus the
-// latency target of the queue. It counts from the acceptance, or from the due time of the
-// occurrence.
-time_point scheduler::state::LatestStart(job_entry& job, std::uint32_t occurrence,
-                                         std::uint32_t index) const {
+// Sets the times by which the step has to start for its job to end within its target, and for its
+// result to be of use. They count from the acceptance, or from the due time of the occurrence.
+void scheduler::state::SetLatestStarts(job_entry& job, std::uint32_t occurrence,
+                                       std::uint32_t index) {
+  step_state& step = job.occurrences[occurrence].steps[index];
   const queue_settings* queue = QueueOf(job);
-  const std::vector<step_spec>& steps = job.spec.steps;
-  if (!queue || steps[index].long_running) return time_point::max();
-  // Longest chain that begins with each step.
-  std::vector<duration> chains(steps.size());
-  duration longest{};
-  for (std::size_t i = steps.size(); i-- > 0;) {
-    chains[i] += steps[i].run_time;
-    if (queue->advice) {
-      chains[i] += queue->advice->decision_time + kHostsInTarget * queue->advice->time_per_host;
-    }
-    for (const std::uint32_t earlier : steps[i].after) {
-      chains[earlier] = std::max(chains[earlier], chains[i]);
-    }
-    longest = std::max(longest, chains[i]);
-  }
+  step.latest_start = step.latest_useful_start = time_point::max();
+  if (!queue || job.spec.steps[index].long_running) return;
+  const std::vector<duration> chains = ChainsOf(job.spec.steps, *queue);
+  const duration target = TargetOf(chains, *queue);
   const std::int64_t since = job.IsPeriodic() ? DueMs(job, occurrence) : job.accepted_ms;
-  const auto stretched =
-      std::chrono::duration_cast<duration>(std::chrono::duration<double>(longest) * queue->stretch);
-  return now - std::chrono::milliseconds(wall_ms - since) + stretched + queue->latency_target -
-         chains[index];
+  step.latest_start = now - std::chrono::milliseconds(wall_ms - since) + target - chains[index];
+  step.latest_useful_start = step.latest_start + target * (kUsefulTargets - 1);
 }
 
 bool scheduler::state::StepReady(const job_entry& job, const occurrence_state& occurrence,
@@ -296,7 +356,7 @@
     if (!idle) continue;
     step.waiting = true;
     step.ready_since = now;
-    step.latest_start = LatestStart(job, index, i);
+    SetLatestStarts(job, index, i);
     waiting.insert(KeyOf({number, index, i, 0}, job));
     pass_needed = true;
   }
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -61,9 +61,10 @@
 }
 
 // Tries to place waiting steps in order of priority and age. Within a priority, steps of tenants
-// that hold more than their share come last. Steps that are too late for the target of their queue
-// come after those that are not, so that a backlog does not make every later job miss its target
-// too.
+// that hold more than their share come last, and steps that are too late for the target of their
+// queue after those that are not, so that a backlog does not make every later job miss its target
+// too. Jobs beyond the rate of their tenant, and last those whose result is of no use any more, get
+// what the others leave.
 void scheduler::state::Pass() {
   if (!pass_needed || !owner || !may_start || now < next_pass) return;
   if (!MayGrantLeases()) return;
@@ -74,6 +75,8 @@
   UpdateHeadroom();
   UpdateTenants();
   struct candidate {
+    bool useless;
+    bool over_rate;
     std::uint32_t priority;
     bool over_share;
     bool late;
@@ -84,11 +87,13 @@
   for (const waiting_key& key : waiting) {
     const step_state* step = FindStep({key.job, key.occurrence, key.step, 0});
     const job_entry* job = FindJob(key.job);
-    candidates.push_back({key.priority, job && tenants.OverShare(job->tenant),
-                          step && now > step->latest_start, key});
+    if (!job || !step) continue;
+    candidates.push_back({now > step->latest_useful_start, job->over_rate, key.priority,
+                          tenants.OverShare(job->tenant), now > step->latest_start, key});
   }
   std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-    return std::tie(a.priority, a.over_share, a.late) < std::tie(b.priority, b.over_share, b.late);
+    return std::tie(a.useless, a.over_rate, a.priority, a.over_share, a.late) <
+           std::tie(b.useless, b.over_rate, b.priority, b.over_share, b.late);
   });
   if (candidates.size() > options.max_steps_per_pass) {
     candidates.resize(options.max_steps_per_pass);
@@ -127,6 +132,7 @@
   });
   if (left) return LogWait(ref, *job, *step);
   ReleaseReservedHosts(*step);
+  queue_rates[job->queue].CountStart(now);
   Dequeue(key, *step);
 }
 
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -17,6 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "sycamorehinge/cell/admission.h"
 #include "sycamorehinge/cell/scheduler.h"
 #include "tenants.h"
 
@@ -109,6 +110,8 @@
   time_point ready_since;
   // A job whose step starts later is not expected to complete within the target of its queue.
   time_point latest_start = time_point::max();
+  // The result of a job whose step starts later is of no use to the caller.
+  time_point latest_useful_start = time_point::max();
   // Last time that the reason for the wait was logged.
   time_point wait_logged_at;
   // Indexed by host slot.
@@ -132,6 +135,8 @@
   tenant_index tenant = tenant_ledger::kNoTenant;
   // Empty if the job has no tenant.
   std::string tenant_name;
+  // The tenant submitted more jobs than its weight allows.
+  bool over_rate = false;
   // Cached settings of the queue, and the configuration generation that they come from.
   const queue_settings* settings = nullptr;
   std::uint64_t settings_generation = 0;
@@ -272,6 +277,17 @@
   double tasks = 0;
 };
 
+// Steps of a queue that started, and the times for which refused callers of it were told to return.
+struct queue_rate {
+  // Steps per second, weighted by an exponential decay.
+  double starts = 0;
+  time_point updated;
+  return_schedule returns;
+
+  void Decay(time_point now);
+  void CountStart(time_point now);
+};
+
 // Queues with these in common compete for the same hosts and are served alike.
 struct service_priority {
   std::string service;
@@ -350,7 +366,9 @@
   void ReleaseStepResources(const task_ref& ref, job_entry& job);
   void CompleteStepIfDone(const task_ref& ref, job_entry& job);
   void RemoveExpiredJobs(std::int64_t wall);
-  time_point LatestStart(job_entry& job, std::uint32_t occurrence, std::uint32_t step) const;
+  answer_call Admit(call_number call, const accepted_record& record);
+  queue_load LoadOf(std::string_view queue);
+  void SetLatestStarts(job_entry& job, std::uint32_t occurrence, std::uint32_t index);
   std::int64_t DueMs(const job_entry& job, std::uint32_t occurrence) const;
 
   // --- cancelled jobs that are not known (cancels.cc) ---
@@ -596,6 +614,7 @@
   std::map<service_priority, start_rate> start_rates;
   time_point start_rates_updated;
   std::map<service_priority, headroom> headrooms;
+  std::unordered_map<std::string, queue_rate> queue_rates;
 
   std::uint64_t sequence = 0;
   std::uint64_t durable = 0;
--- a/packages/cell/src/tenants.cc
+++ b/packages/cell/src/tenants.cc
@@ -10,12 +10,15 @@
 void tenant_ledger::SetTenants(std::span<const tenant_settings> tenants) {
   std::vector<tenant_rule> rules;
   rules.reserve(tenants.size());
+  for (rate_state& state : rates_) state.rate = 0;
   for (const tenant_settings& tenant : tenants) {
     tenant_rule& rule = rules.emplace_back();
     rule.name = tenant.name;
-    rule.weight = tenant.weight;
+    rule.weight = tenant.weight > 0 ? tenant.weight : 1;
     rule.quota = tenant.quota;
-    IndexOf(tenant.name.value);
+    const tenant_index index = IndexOf(tenant.name.value);
+    if (index >= rates_.size()) rates_.resize(index + 1);
+    rates_[index].rate = tenant.weight;
   }
   accounting_.SetTenantRules(rules);
 }
@@ -44,6 +47,17 @@
   return accounting_.QuotaCouldAllow(tenant, Multiply(tasks.size, tasks.count));
 }
 
+void tenant_ledger::CountSubmission(tenant_index tenant, time_point now) {
+  if (tenant >= rates_.size() || rates_[tenant].rate <= 0) return;
+  rate_state& state = rates_[tenant];
+  const double most = state.rate * std::chrono::duration<double>(kRateWindow).count();
+  const double grown = std::chrono::duration<double>(now - state.updated).count() * state.rate;
+  state.allowed = std::min(state.allowed + grown, most);
+  state.updated = now;
+  state.over = state.allowed < 1;
+  if (!state.over) state.allowed -= 1;
+}
+
 void tenant_ledger::UpdateShares(const std::vector<bool>& waiting) {
   over_share_.assign(count_, false);
   std::vector<double> held(count_);
--- a/packages/cell/src/tenants.h
+++ b/packages/cell/src/tenants.h
@@ -12,6 +12,9 @@
 
 namespace sycamorehinge::cell {
 
+// Time over which the rate of a tenant is averaged.
+inline constexpr duration kRateWindow = std::chrono::seconds(5);
+
 // Resources of this many tasks.
 struct task_group {
   resources size;
@@ -53,12 +56,27 @@
   }
   std::size_t Count() const { return count_; }
 
+  // Counts a submission against the rate of the tenant: as many jobs per second as its weight says,
+  // over `kRateWindow`.
+  void CountSubmission(tenant_index tenant, time_point now);
+  // Returns whether the last counted submission of the tenant was beyond its rate.
+  bool OverRate(tenant_index tenant) const { return tenant < rates_.size() && rates_[tenant].over; }
+
  private:
   share_accounting accounting_;
   class_index work_class_ = 0;
   std::size_t count_ = 0;
   std::vector<resources> uncertain_;
   std::vector<bool> over_share_;
+  // Submissions that the tenant may make now; grows with time up to those of `kRateWindow`.
+  struct rate_state {
+    // Jobs per second; 0 for no limit.
+    double rate = 0;
+    double allowed = 0;
+    time_point updated;
+    bool over = false;
+  };
+  std::vector<rate_state> rates_;
 };
 
 }  // namespace sycamorehinge::cell
