net, entry, control, cell: callers outside our control; room near data; admission at three targets

Cause: each connection buffered a whole body and nothing bounded the sum: 200 bodies of legal size took a process to 56 to 61 MB where its machine had 40 MB. A body announced with 500 MB was read, unfinished headers kept all connections, and a stop waited for half-sent requests. Timers of calls and answered requests kept memory in proportion to the rate of calls. Tasks never waited for room near their data.

Change: request_budget decides which requests a server takes and which connections it closes; the limits of the configuration apply; a part of the machine's memory bounds requests and jobs. entry_test runs a process against crowds; crowd and bounds were fixed on the code before. Admission refuses what is expected to end after three targets. Steps wait for room near their data or group as long as that pays. Refused callers are told to return at spread times, none earlier than before.

--- a/packages/cell/include/sycamorehinge/cell/actions.h
+++ b/packages/cell/include/sycamorehinge/cell/actions.h
@@ -27,8 +27,8 @@
   journal_record record;
 };
 
-// Returns a time between half and one and a half times `retry_after` that depends on the key, so
-// that callers refused at the same time do not return at the same time.
+// Returns a time between `retry_after` and twice that, which depends on the key, so that callers
+// refused at the same time do not return at the same time.
 duration SpreadRetry(duration retry_after, std::uint64_t key);
 
 // The only response to a call.
--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -75,6 +75,12 @@
   std::size_t max_open_starts = 500;
   // A gang that has waited this long gets hosts reserved for it.
   duration gang_reserve_delay = std::chrono::milliseconds(800);
+  // Run time of a task away from the rack of its data, and of a gang that wants one rack on
+  // several, as a multiple of the time near it. At 1 no step waits for such room.
+  double far_factor = 1;
+  // Memory for jobs that have not ended and their tasks. More jobs are refused, and periodic jobs
+  // open no further occurrence meanwhile.
+  std::size_t max_job_bytes = std::size_t{256} << 20;
   // Largest value of a record that the journal stores.
   std::size_t max_record_bytes = 262'000;
 };
@@ -92,6 +98,10 @@
   std::uint64_t examined_hosts = 0;
   // Hosts reserved for a gang.
   std::size_t reserved_hosts = 0;
+  // Steps that waited for room near their data or group so far, and tasks that started away from
+  // it.
+  std::uint64_t near_waits = 0;
+  std::uint64_t far_starts = 0;
   resources capacity;
   resources allocated;
   bool recovering = false;
--- a/packages/cell/include/sycamorehinge/cell/work.h
+++ b/packages/cell/include/sycamorehinge/cell/work.h
@@ -3,6 +3,7 @@
 #define SYCAMOREHINGE_CELL_WORK_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -80,9 +81,14 @@
 // record of the journal holds the progress of all of them.
 inline constexpr std::uint32_t kMaxOpenTasks = 8192;
 
-// Returns kMalformed if there are no steps, a step has no tasks or a negative size, a dependency is
-// not an earlier step, a count exceeds its limit (kMaxSteps for the dependencies of a step), or the
-// interval is negative; otherwise kOk.
+// The platform's callers send at most 4,000 bytes, and short names.
+inline constexpr std::size_t kMaxPayloadBytes = 16 * 1024;
+inline constexpr std::size_t kMaxNameBytes = 512;
+
+// Returns kTooLarge if the payload or a name is longer than its limit; kMalformed if there are no
+// steps, a step has no tasks or a negative size, a dependency is not an earlier step, a count
+// exceeds its limit (kMaxSteps for the dependencies of a step), or the interval is negative;
+// otherwise kOk.
 errc ValidateSpec(const job_spec& spec);
 
 }  // namespace sycamorehinge::cell
--- a/packages/cell/src/admission.cc
+++ b/packages/cell/src/admission.cc
@@ -8,11 +8,11 @@
 
 // Ages of fewer steps say little about the wait of the next one.
 constexpr std::size_t kMinWaitingSteps = 4;
-// A job is in time if it ends within this multiple of its target. Estimated run times are off by up
-// to 0.9, so a job that seems to miss its target may still meet it.
-constexpr double kInTime = 1.5;
-// The same for jobs beyond the rate of their tenant, which the others come before.
-constexpr double kInTimeOverRate = 0.75;
+// A job is in time if it ends within this multiple of its target, as a later result is of no use to
+// the caller.
+constexpr double kInTime = 3;
+// The same for jobs beyond the rate of their tenant.
+constexpr double kInTimeOverRate = 1;
 
 constexpr duration kMinReturn = std::chrono::milliseconds(500);
 constexpr duration kMaxReturn = std::chrono::seconds(5);
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -12,6 +12,12 @@
 
 // The target of a job includes one request to the policy service on this many hosts for each step.
 constexpr std::int64_t kHostsInTarget = 30;
+// Approximate memory of a job and of each of its tasks, with the run of the task.
+constexpr std::size_t kJobBytes = 2048;
+constexpr std::size_t kTaskBytes = 256;
+constexpr duration kJobBytesInterval = std::chrono::milliseconds(250);
+// For callers whose job does not fit into the memory of the owner.
+constexpr duration kMemoryRetryAfter = std::chrono::milliseconds(2000);
 // A result later than this many times the target is of no use to the caller.
 constexpr std::int64_t kUsefulTargets = 3;
 
@@ -45,6 +51,12 @@
   return true;
 }
 
+std::size_t TaskCount(const job_spec& spec) {
+  std::size_t tasks = 0;
+  for (const step_spec& step : spec.steps) tasks += step.count;
+  return tasks;
+}
+
 // Returns the length of the longest chain of steps that begins with each step.
 std::vector<duration> ChainsOf(std::span<const step_spec> steps, const queue_settings& queue) {
   std::vector<duration> chains(steps.size());
@@ -182,7 +194,6 @@
   job.order = next_order++;
   job.tenant = tenants.IndexOf(tenant);
   job.tenant_name = tenant;
-  job.over_rate = tenants.OverRate(job.tenant);
   ++queued_jobs[job.queue];
   job.spec = record.spec;
   job.payload = std::make_shared<std::string>(std::move(job.spec.payload));
@@ -195,6 +206,14 @@
 // Decides whether a new job can still end in time. The code of the answer is kOk if so.
 answer_call scheduler::state::Admit(call_number call, const accepted_record& record) {
   answer_call answer{call};
+  const std::size_t bytes =
+      kJobBytes + MaxEncodedBytes(record) + kTaskBytes * TaskCount(record.spec);
+  if (job_bytes + bytes > options.max_job_bytes) {
+    answer.code = errc::kOverloaded;
+    answer.retry_after = SpreadRetry(kMemoryRetryAfter, record.job);
+    return answer;
+  }
+  job_bytes += bytes;
   if (!config->HasTenants()) return answer;
   const tenant_index tenant = tenants.IndexOf(record.tenant);
   tenants.CountSubmission(tenant, now);
@@ -293,11 +312,23 @@
   EnqueueReadySteps(number, job, index);
 }
 
+void scheduler::state::UpdateJobBytes() {
+  if (now < next_job_bytes_at) return;
+  next_job_bytes_at = now + kJobBytesInterval;
+  job_bytes = 0;
+  for (const auto& [number, job] : jobs) {
+    if (job.Ended()) continue;
+    job_bytes += kJobBytes + (job.payload ? job.payload->size() : 0);
+    job_bytes +=
+        kTaskBytes * TaskCount(job.spec) * std::max<std::size_t>(job.occurrences.size(), 1);
+  }
+}
+
 // Returns whether the job may open its next occurrence beside those that are open.
 bool scheduler::state::MayOpenOccurrence(const job_entry& job) const {
   const std::size_t open = job.occurrences.size() + 1;
-  std::size_t tasks = 0;
-  for (const step_spec& step : job.spec.steps) tasks += step.count;
+  const std::size_t tasks = TaskCount(job.spec);
+  if (job_bytes > options.max_job_bytes && open > 1) return false;
   return open == 1 || (open * tasks <= kMaxOpenTasks &&
                        open * MaxOccurrenceBytes(job.spec) <= options.max_record_bytes / 2);
 }
--- a/packages/cell/src/journal.cc
+++ b/packages/cell/src/journal.cc
@@ -9,7 +9,7 @@
 duration SpreadRetry(duration retry_after, std::uint64_t key) {
   constexpr std::uint64_t kSteps = 1024;
   const std::uint64_t step = StableHash(std::to_string(key)) % kSteps;
-  return retry_after / 2 + retry_after * static_cast<std::int64_t>(step) / kSteps;
+  return retry_after + retry_after * static_cast<std::int64_t>(step) / kSteps;
 }
 
 std::uint64_t scheduler::state::Write(journal_record record) {
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -76,7 +76,6 @@
   UpdateTenants();
   struct candidate {
     bool useless;
-    bool over_rate;
     std::uint32_t priority;
     bool over_share;
     bool late;
@@ -88,12 +87,12 @@
     const step_state* step = FindStep({key.job, key.occurrence, key.step, 0});
     const job_entry* job = FindJob(key.job);
     if (!job || !step) continue;
-    candidates.push_back({now > step->latest_useful_start, job->over_rate, key.priority,
+    candidates.push_back({now > step->latest_useful_start, key.priority,
                           tenants.OverShare(job->tenant), now > step->latest_start, key});
   }
   std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-    return std::tie(a.useless, a.over_rate, a.priority, a.over_share, a.late) <
-           std::tie(b.useless, b.over_rate, b.priority, b.over_share, b.late);
+    return std::tie(a.useless, a.priority, a.over_share, a.late) <
+           std::tie(b.useless, b.priority, b.over_share, b.late);
   });
   if (candidates.size() > options.max_steps_per_pass) {
     candidates.resize(options.max_steps_per_pass);
@@ -152,6 +151,7 @@
   if (wanted.spec->gang && step.active_runs > 0)
     return "members of the previous run have not ended";
   if (!step.advice_requests.empty()) return "waiting for the policy service";
+  if (step.near_wait_since != time_point()) return "waiting for room near its data or group";
   std::uint32_t capacity = 0;
   std::uint32_t approved_capacity = 0;
   std::uint32_t approved_hosts = 0;
@@ -255,8 +255,7 @@
     const host_state& host = hosts[slot];
     const bool suspect =
         FailedOn(task, slot) || (!task.failed_runs.empty() && host.consecutive_failures > 0);
-    const bool far = !wanted.spec->rack.empty() && host.entry.rack.value != wanted.spec->rack;
-    const std::tuple score{suspect, far, host.Free().cores_milli};
+    const std::tuple score{suspect, IsFar(wanted, slot), host.Free().cores_milli};
     if (best != kNoHost && score >= best_score) continue;
     best = slot;
     best_score = score;
@@ -264,16 +263,28 @@
   return best;
 }
 
+bool scheduler::state::IsFar(const demand& wanted, host_slot slot) const {
+  const std::string& rack = wanted.spec->rack;
+  return !rack.empty() && hosts[slot].entry.rack.value != rack;
+}
+
 void scheduler::state::PlaceTasks(const task_ref& ref, job_entry& job, step_state& step) {
   const demand wanted = DemandOf(ref, job, step);
   if (!MightFit(wanted)) return;
   const std::vector<std::uint32_t> indices = WaitingTasks(step);
   auto left = static_cast<std::uint32_t>(indices.size());
+  std::optional<std::uint32_t> wait_for_rack;
   for (const std::uint32_t index : indices) {
     if (!QuotaAllows(wanted, job, 1)) return;
     const host_slot slot = BestHost(wanted, step.tasks[index]);
     // The tasks of a step are identical, so the remaining ones do not fit either.
     if (slot == kNoHost) break;
+    // Hosts near the data are chosen first, so none of them has room now.
+    if (IsFar(wanted, slot)) {
+      if (!wait_for_rack) wait_for_rack = TasksThatWaitForRack(wanted, step, left);
+      if (left <= *wait_for_rack) break;
+      ++far_starts;
+    }
     --left;
     const std::uint32_t number =
         static_cast<std::uint32_t>(term - 1) * kRunsPerTerm + ++step.tasks[index].starts;
@@ -302,7 +313,7 @@
 
 // Chooses hosts and task counts for all members of a gang; empty if they do not fit. Prefers hosts
 // without recent failures, then those with the fewest cores left over. If the gang requests one
-// rack, a rack that fits all members is tried first.
+// rack, or names that of its data, a rack that fits all members is tried first.
 std::vector<std::pair<host_slot, std::uint32_t>> scheduler::state::ChooseGangHosts(
     const demand& wanted, bool need_ticket) const {
   const step_state& step = *wanted.step;
@@ -339,9 +350,11 @@
     if (missing > 0) chosen.clear();
     return chosen;
   };
-  if (wanted.spec->same_rack) {
+  if (wanted.spec->same_rack || !wanted.spec->rack.empty()) {
     std::set<rack_id> racks;
-    for (const candidate& next : candidates) racks.insert(hosts[next.slot].entry.rack);
+    for (const candidate& next : candidates) {
+      if (!IsFar(wanted, next.slot)) racks.insert(hosts[next.slot].entry.rack);
+    }
     for (const rack_id& rack : racks) {
       if (auto chosen = choose(&rack); !chosen.empty()) return chosen;
     }
@@ -361,6 +374,10 @@
     if (wanted.NeedsAdvice()) RequestAdviceForGang(ref, wanted, step);
     return ReserveHosts(wanted);
   }
+  if (!IsNear(*wanted.spec, chosen)) {
+    if (GangWaitsForRack(wanted, step)) return;
+    far_starts += step.tasks.size();
+  }
   ReleaseReservedCapacity(step, *wanted.spec);
   ReleaseReservedHosts(step);
   // All members use the same run number and the same checkpoint.
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -164,6 +164,7 @@
   s.now = now;
   s.wall_ms = wall_ms;
   if (!s.owner) return;
+  s.UpdateJobBytes();
   s.OpenDueOccurrences(wall_ms);
   s.FenceEarlierOwners();
   s.CheckGrants();
@@ -202,6 +203,8 @@
   summary.waiting_steps = s.waiting.size();
   summary.advice_requests = s.advice_requests.size();
   summary.examined_hosts = s.examined_hosts;
+  summary.near_waits = s.near_waits;
+  summary.far_starts = s.far_starts;
   summary.runs = s.runs.size();
   summary.recovering = s.recovering;
   for (const host_state& host : s.hosts) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "sycamorehinge/cell/admission.h"
+#include "sycamorehinge/cell/locality.h"
 #include "sycamorehinge/cell/scheduler.h"
 #include "tenants.h"
 
@@ -110,6 +111,10 @@
   time_point ready_since;
   // A job whose step starts later is not expected to complete within the target of its queue.
   time_point latest_start = time_point::max();
+  // Time since which tasks wait for room near their data or group, and for how long they expected
+  // to wait then.
+  time_point near_wait_since;
+  duration near_wait_expected{};
   // The result of a job whose step starts later is of no use to the caller.
   time_point latest_useful_start = time_point::max();
   // Last time that the reason for the wait was logged.
@@ -135,8 +140,6 @@
   tenant_index tenant = tenant_ledger::kNoTenant;
   // Empty if the job has no tenant.
   std::string tenant_name;
-  // The tenant submitted more jobs than its weight allows.
-  bool over_rate = false;
   // Cached settings of the queue, and the configuration generation that they come from.
   const queue_settings* settings = nullptr;
   std::uint64_t settings_generation = 0;
@@ -356,6 +359,7 @@
   void Activate(job_number number, job_entry& job);
   void OpenOccurrence(job_number number, job_entry& job, std::uint32_t occurrence);
   bool FitsJournal(const accepted_record& record) const;
+  void UpdateJobBytes();
   bool QuotaCouldAllow(tenant_index tenant, const job_spec& spec) const;
   bool MayOpenOccurrence(const job_entry& job) const;
   void OpenDueOccurrences(std::int64_t wall);
@@ -490,6 +494,7 @@
                          bool include_reserved_capacity) const;
   std::uint32_t UnclaimedCopies(const demand& wanted, host_slot slot) const;
   bool TicketHolds(const step_state& step, host_slot slot) const;
+  bool IsFar(const demand& wanted, host_slot slot) const;
   host_slot BestHost(const demand& wanted, const task_state& task) const;
   std::vector<std::pair<host_slot, std::uint32_t>> ChooseGangHosts(const demand& wanted,
                                                                    bool need_ticket) const;
@@ -502,6 +507,18 @@
   void ReleaseHostsOfOtherServices(const demand& wanted);
   void ReleaseReservedHosts(const step_state& step);
 
+  // --- room near data or group (near_room.cc) ---
+  time_point ExpectedEnd(const run_state& run) const;
+  void AddExpectedRoom(const demand& wanted, host_slot slot, time_point until,
+                       std::vector<time_point>& times) const;
+  std::vector<time_point> ExpectedRoom(const demand& wanted, std::string_view rack) const;
+  duration ExtraTime(const step_spec& spec) const;
+  bool PaysToWait(const demand& wanted, step_state& step, time_point at);
+  std::uint32_t TasksThatWaitForRack(const demand& wanted, step_state& step, std::uint32_t tasks);
+  bool GangWaitsForRack(const demand& wanted, step_state& step);
+  bool IsNear(const step_spec& spec,
+              std::span<const std::pair<host_slot, std::uint32_t>> chosen) const;
+
   // --- headroom (headroom.cc) ---
   bool LeavesHeadroom(const demand& wanted) const;
   void UpdateHeadroom();
@@ -579,6 +596,9 @@
   time_point next_earlier_usage_at;
 
   std::unordered_map<job_number, job_entry> jobs;
+  // Approximate memory of the jobs that have not ended, as of the last count.
+  std::size_t job_bytes = 0;
+  time_point next_job_bytes_at;
   std::uint64_t next_order = 1;
   std::vector<job_number> dirty_jobs;
   // End time in Unix milliseconds and job, oldest first.
@@ -616,6 +636,10 @@
   std::map<service_priority, headroom> headrooms;
   std::unordered_map<std::string, queue_rate> queue_rates;
 
+  // Steps that waited for room near their data or group, and tasks that started away from it.
+  std::uint64_t near_waits = 0;
+  std::uint64_t far_starts = 0;
+
   std::uint64_t sequence = 0;
   std::uint64_t durable = 0;
   // Sequence of the newest host_record.
--- a/packages/cell/src/work.cc
+++ b/packages/cell/src/work.cc
@@ -15,6 +15,10 @@
                      [number](std::uint32_t earlier) { return earlier < number; });
 }
 
+bool HasLongName(const step_spec& step) {
+  return std::max({step.label.size(), step.rack.size(), step.image.size()}) > kMaxNameBytes;
+}
+
 }  // namespace
 
 std::string FormatJobNumber(job_number job) {
@@ -27,6 +31,8 @@
 errc ValidateSpec(const job_spec& spec) {
   if (spec.steps.empty() || spec.steps.size() > kMaxSteps) return errc::kMalformed;
   if (spec.occurrences > kMaxOccurrences || spec.interval_ms < 0) return errc::kMalformed;
+  const bool long_name = std::any_of(spec.steps.begin(), spec.steps.end(), HasLongName);
+  if (spec.payload.size() > kMaxPayloadBytes || long_name) return errc::kTooLarge;
   for (std::size_t i = 0; i < spec.steps.size(); ++i) {
     if (!IsValid(spec.steps[i], i)) return errc::kMalformed;
   }
--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -53,7 +53,8 @@
     open.deadline = deadline;
     open.reply = std::move(reply);
     if (state.closed) return GiveUp(state, id, out);
-    out.push_back([this, id, deadline] { port_.run_at(deadline, [this, id] { OnDeadline(id); }); });
+    state.deadlines.emplace(deadline, id);
+    ScheduleDeadline(state, out);
     SendAttempt(state, id, out);
   });
 }
@@ -157,10 +158,23 @@
   });
 }
 
-void call_router::OnDeadline(std::uint64_t id) {
+// Schedules a timer for the earliest deadline unless one is pending that fires no later. A timer
+// for each call would outlive the call, and take memory in proportion to the rate of calls.
+void call_router::ScheduleDeadline(routing_state& state, effects& out) {
+  if (state.deadlines.empty() || state.deadlines.begin()->first >= state.next_deadline_timer)
+    return;
+  const time_point at = state.next_deadline_timer = state.deadlines.begin()->first;
+  out.push_back([this, at] { port_.run_at(at, [this] { OnDeadline(); }); });
+}
+
+void call_router::OnDeadline() {
+  const time_point now = port_.now();
   Update([&](routing_state& state, effects& out) {
-    const auto found = state.calls.find(id);
-    if (found != state.calls.end()) GiveUp(state, id, out);
+    state.next_deadline_timer = time_point::max();
+    while (!state.deadlines.empty() && state.deadlines.begin()->first <= now) {
+      GiveUp(state, state.deadlines.begin()->second, out);
+    }
+    ScheduleDeadline(state, out);
   });
 }
 
@@ -197,6 +211,7 @@
   const auto found = state.calls.find(id);
   out.push_back(
       [reply = std::move(found->second.reply), answer = std::move(answer)] { reply(answer); });
+  state.deadlines.erase({found->second.deadline, id});
   state.calls.erase(found);
 }
 
--- a/packages/control/src/call_router.h
+++ b/packages/control/src/call_router.h
@@ -7,7 +7,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "sycamorehinge/control/ports.h"
@@ -100,6 +102,10 @@
     std::vector<std::string> peers;
     std::size_t next_peer = 0;
     std::map<std::uint64_t, open_call> calls;
+    // Deadlines of these calls, and the time at which the next timer for them fires; max() if none
+    // is pending.
+    std::set<std::pair<time_point, std::uint64_t>> deadlines;
+    time_point next_deadline_timer = time_point::max();
     std::uint64_t next_call = 1;
     bool closed = false;
     // First failed attempt since the last answer; max() if none.
@@ -117,7 +123,8 @@
   void RetryLater(const routing_state& state, std::uint64_t id, effects& out);
   // Sends the next attempt unless there have been others than `attempts` meanwhile.
   void Retry(std::uint64_t id, std::uint32_t attempts);
-  void OnDeadline(std::uint64_t id);
+  void ScheduleDeadline(routing_state& state, effects& out);
+  void OnDeadline();
   void Finish(routing_state& state, std::uint64_t id, peer_answer answer, effects& out);
   void Refuse(routing_state& state, std::uint64_t id, errc code, effects& out);
   void GiveUp(routing_state& state, std::uint64_t id, effects& out);
--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -22,6 +22,19 @@
 constexpr duration kSettingsInterval = std::chrono::seconds(2);
 // Connections of peers and of the readiness check.
 constexpr unsigned kInnerConnections = 400;
+// Each of the three servers may hold this part of the machine's memory for requests and answers.
+constexpr std::size_t kFrontMemoryPart = 8;
+// Part of the memory for jobs, on a machine that owns the cell.
+constexpr std::size_t kJobMemoryPart = 4;
+// Memory of a connection without a request.
+constexpr std::size_t kConnectionBytes = std::size_t{6} << 10;
+// Calls between processes hold at most one job.
+constexpr std::size_t kPeerBodyBytes = std::size_t{1} << 20;
+constexpr std::size_t kReadinessBodyBytes = std::size_t{1} << 10;
+// Open calls have been answered before the servers stop.
+constexpr duration kStopTimeout = std::chrono::milliseconds(500);
+// Interval at which the limits of the configuration in force are applied.
+constexpr duration kLimitsInterval = std::chrono::milliseconds(500);
 // Leases leave this much of the longest one that hosts grant.
 constexpr duration kLeaseReserve = std::chrono::milliseconds(500);
 // Room for the key in a record of the store.
@@ -86,6 +99,8 @@
   scheduler.max_lease = settings.max_lease;
   scheduler.stop_timeout = settings.stop_timeout;
   scheduler.gang_timeout = settings.gang_timeout;
+  scheduler.far_factor = settings.far_factor;
+  scheduler.max_job_bytes = settings.memory_bytes / kJobMemoryPart;
   scheduler.max_record_bytes = settings.max_record_bytes - kKeyBytes;
   scheduler.job_retention = std::max(scheduler.job_retention, settings.status_retention * 5 / 4);
   return options;
@@ -148,16 +163,24 @@
   http_server_options options;
   options.listen = settings.front_address.host;
   options.port = settings.front_address.port;
-  options.max_connections = static_cast<unsigned>(settings.max_sockets * 3 / 4);
+  options.max_held_bytes = settings.memory_bytes / kFrontMemoryPart;
+  options.stop_timeout = kStopTimeout;
+  options.on_limited = [this](std::string_view limit) {
+    events_.Write(event_number::kCallerLimited, {{"limit", limit}});
+  };
+  options.max_connections = static_cast<unsigned>(
+      std::min(settings.max_sockets * 3 / 4, options.max_held_bytes / kConnectionBytes));
   front_ = std::make_unique<http_server>(
       options, platform::MakeIngressHandler(*node_, [this] { return Now(clock_); }));
-  options.max_connections = kInnerConnections;
+  options.max_connections =
+      std::min(kInnerConnections, static_cast<unsigned>(options.max_held_bytes / kConnectionBytes));
+  options.max_body_bytes = kReadinessBodyBytes;
   options.listen = settings.readiness_address.host;
   options.port = settings.readiness_address.port;
   ready_ = std::make_unique<http_server>(options, platform::MakeReadinessHandler(*node_));
   options.listen = settings.ip;
   options.port = settings.peer_port;
-  options.max_body_bytes = std::size_t{4} << 20;
+  options.max_body_bytes = kPeerBodyBytes;
   peers_ =
       std::make_unique<http_server>(options, MakePeerHandler(*node_, [this] { return Metrics(); }));
   for (http_server* server : {front_.get(), ready_.get(), peers_.get()}) {
@@ -171,6 +194,7 @@
                  {"processor_milli", static_cast<std::int64_t>(settings.processor_cores * 1000)}});
   node_->Start();
   WatchSettings();
+  WatchLimits();
   return errc::kOk;
 }
 
@@ -195,6 +219,18 @@
         static_cast<double>(now.cell.capacity.cores_milli));
   gauge("sycamorehinge_taken_milli", "thousandths of cores taken by runs",
         static_cast<double>(now.cell.allocated.cores_milli));
+  const http_server_load load = front_->Load();
+  gauge("sycamorehinge_caller_connections", "connections of callers",
+        static_cast<double>(load.connections));
+  gauge("sycamorehinge_held_request_bytes", "bytes of requests and answers of callers",
+        static_cast<double>(load.held_bytes));
+  gauge("sycamorehinge_limited_requests",
+        "requests refused and connections of callers closed because of a limit",
+        static_cast<double>(load.limited));
+  gauge("sycamorehinge_near_waits", "steps that waited for room near their data or group",
+        static_cast<double>(now.cell.near_waits));
+  gauge("sycamorehinge_far_starts", "tasks that started away from their data or group",
+        static_cast<double>(now.cell.far_starts));
   return page.Text();
 }
 
@@ -222,6 +258,20 @@
   });
 }
 
+// The limits of requests are part of the configuration.
+void platform_process::WatchLimits() {
+  if (const auto config = node_->Config()) {
+    const cell::request_limits& configured = config->limits;
+    request_size_limits limits;
+    if (configured.max_body_bytes > 0) limits.max_body_bytes = configured.max_body_bytes;
+    if (configured.max_header_bytes > 0) limits.max_header_bytes = configured.max_header_bytes;
+    if (configured.header_timeout > duration()) limits.header_timeout = configured.header_timeout;
+    if (configured.idle_timeout > duration()) limits.idle_timeout = configured.idle_timeout;
+    front_->SetLimits(limits);
+  }
+  timers_->ScheduleAfter(kLimitsInterval, [this] { WatchLimits(); });
+}
+
 // The file may change without a signal.
 void platform_process::WatchSettings() {
   timers_->ScheduleAfter(kSettingsInterval, [this] {
--- a/packages/entry/src/platform_process.h
+++ b/packages/entry/src/platform_process.h
@@ -42,6 +42,7 @@
   void FinishDrain();
   std::string Metrics() const;
   void WatchSettings();
+  void WatchLimits();
 
   const std::string path_;
   platform::live_settings settings_;
--- /dev/null
+++ b/packages/entry/tests/crowd_test.cc
@@ -0,0 +1,179 @@
+// Callers outside our control against a platform process: it must neither end nor hang, must stay
+// within the memory and the descriptors of its machine, and must answer an ordinary request
+// afterwards. The limits are lowered so that a small crowd reaches them.
+#include "crowd.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
+
+#include "daemon.h"
+#include "store_standin.h"
+
+namespace sycamorehinge::testing {
+namespace {
+
+constexpr daemon_limits kLimits = {40, 600};
+constexpr long kMaxMemoryKb = 40L * 1024;
+constexpr std::size_t kMaxDescriptors = 600;
+constexpr std::size_t kMaxBodyBytes = 262'144;
+constexpr std::size_t kLegalBodies = 200;
+constexpr std::size_t kConnections = 320;
+constexpr std::size_t kPartBytes = 32'768;
+constexpr std::string_view kJobPath = "/q/5c0e7a21d94b36f8";
+constexpr std::string_view kConfig =
+    R"({"version":1,"routes":[{"name":"q","host":"h.example","path_prefix":"/q/","service":"s"}],)"
+    R"("services":[{"name":"s"}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
+    R"("header_timeout_ms":500,"idle_timeout_ms":2000}})";
+
+class crowded_process {
+ public:
+  crowded_process() : store_(), process(StartStore(), kLimits) {
+    constexpr int kAttempts = 300;
+    bool ready = false;
+    for (int i = 0; i < kAttempts && !ready; ++i) {
+      ready = OrdinaryRequest() == 200;
+      if (!ready) std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    REQUIRE(ready);
+  }
+
+  // Asks for the number of waiting jobs and returns the status of the answer.
+  int OrdinaryRequest() const {
+    connection caller(process.FrontPort());
+    caller.Send("GET /q/ HTTP/1.1\r\nHost: h.example\r\n\r\n");
+    return caller.ReadStatus();
+  }
+  // As an ordinary caller does, a refused one returns after a while.
+  bool AnswersOrdinaryRequest() const {
+    constexpr int kAttempts = 12;
+    for (int i = 0; i < kAttempts; ++i) {
+      if (OrdinaryRequest() == 200) return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    }
+    return false;
+  }
+  void Check() {
+    CHECK(process.OpenDescriptors() <= kMaxDescriptors);
+    CHECK(AnswersOrdinaryRequest());
+    REQUIRE(process.Runs());
+    CHECK(process.PeakMemoryKb() <= kMaxMemoryKb);
+    CHECK(process.OpenDescriptors() <= kMaxDescriptors);
+  }
+
+ private:
+  std::string StartStore() {
+    store_.Put("keyed.op", "config", kConfig);
+    return store_.Address();
+  }
+
+  store_standin store_;
+
+ public:
+  daemon process;
+};
+
+std::string LegalBody() {
+  std::string body = R"({"task_spec":")";
+  body.append(kMaxBodyBytes - body.size() - 64, 'x');
+  return body + R"(","steps":[{"count":1}]})";
+}
+
+std::string LengthHeader(std::size_t bytes) {
+  return "Content-Length: " + std::to_string(bytes) + "\r\n";
+}
+
+// Guards against a process that reads and throws away a body of any announced size.
+TEST_CASE("A body announced over the limit is refused before it is read") {
+  crowded_process test;
+  connection caller(test.process.FrontPort());
+  caller.Send(PostHead(kJobPath, LengthHeader(500'000'000)));
+  CHECK(caller.ReadStatus() == 413);
+  test.Check();
+}
+
+// Guards against a process that reads for as long as a caller sends.
+TEST_CASE("A body over the limit that is not announced is not read to its end") {
+  crowded_process test;
+  connection caller(test.process.FrontPort());
+  caller.Send(PostHead(kJobPath, "Transfer-Encoding: chunked\r\n"));
+  const std::string chunk = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+  constexpr std::size_t kChunks = 512;
+  std::size_t sent = 0;
+  while (sent < kChunks && caller.Send(chunk) == chunk.size()) ++sent;
+  CHECK(sent < kChunks);
+  CHECK(caller.WaitForClose());
+  test.Check();
+}
+
+// Guards against a process that runs out of memory: each connection buffered a whole body, and
+// nothing limited their sum.
+TEST_CASE("Many bodies of legal size at once fit into the memory") {
+  crowded_process test;
+  const std::string body = LegalBody();
+  std::string bytes = PostHead(kJobPath, LengthHeader(body.size())) + body;
+  std::size_t part = kPartBytes;
+  SECTION("whole") { part = bytes.size(); }
+  SECTION("piece by piece, stopping just short of the end") { bytes.resize(bytes.size() - 100); }
+  SECTION("not announced, stopping just short of the end") {
+    bytes = PostHead(kJobPath, "Transfer-Encoding: chunked\r\n") + "3f000\r\n" +
+            std::string(0x3f000 - 100, 'x');
+  }
+  const std::vector<connection> crowd =
+      OpenCrowd(test.process.FrontPort(), kLegalBodies, bytes, part);
+  test.Check();
+}
+
+// Guards against headers without an end that keep all connections from others: none was closed
+// after 20 s.
+TEST_CASE("Connections with unfinished headers are closed") {
+  crowded_process test;
+  std::string bytes = "POST /q/1 HTTP/1.1\r\nHost: h.example\r\nX-Filler: ";
+  SECTION("with long headers") { bytes.append(12'000, 'x'); }
+  SECTION("in the request line") { bytes = "GET /q"; }
+  const std::vector<connection> crowd =
+      OpenCrowd(test.process.FrontPort(), kConnections, bytes, bytes.size());
+  test.Check();
+}
+
+// Guards against answers that pile up for callers that read none.
+TEST_CASE("Callers that read no answers do not keep others from theirs") {
+  crowded_process test;
+  std::string requests;
+  for (int i = 0; i < 400; ++i) requests += "GET /q/ HTTP/1.1\r\nHost: h.example\r\n\r\n";
+  const std::vector<connection> crowd =
+      OpenCrowd(test.process.FrontPort(), kConnections, requests, requests.size());
+  test.Check();
+}
+
+// Guards against the same on the ports that no caller needs but any can reach.
+TEST_CASE("A crowd on the ports for peers and readiness does not harm callers") {
+  crowded_process test;
+  std::uint16_t port = 0;
+  SECTION("peers") { port = test.process.PeerPort(); }
+  SECTION("readiness") { port = test.process.ReadinessPort(); }
+  const std::string bytes = PostHead("/", LengthHeader(kMaxBodyBytes)) + std::string(262'000, 'x');
+  const std::vector<connection> crowd = OpenCrowd(port, kLegalBodies, bytes, kPartBytes);
+  test.Check();
+  // The platform's check of readiness is still answered.
+  connection check(test.process.ReadinessPort());
+  check.Send("GET /sycamorehinge/ready HTTP/1.1\r\nHost: h.example\r\n\r\n");
+  CHECK(check.ReadStatus() == 200);
+}
+
+// Guards against a process that is killed, with answers outstanding, because it waits for requests
+// that never end.
+TEST_CASE("A process with half-sent requests ends within its grace time") {
+  crowded_process test;
+  const std::string body = LegalBody();
+  const std::string bytes =
+      PostHead(kJobPath, LengthHeader(body.size())) + body.substr(0, body.size() / 100);
+  const std::vector<connection> crowd = OpenCrowd(test.process.FrontPort(), 50, bytes, kPartBytes);
+  test.process.Terminate();
+  const auto status = test.process.WaitForEnd(std::chrono::seconds(6));
+  REQUIRE(status);
+  CHECK(*status == 0);
+}
+
+}  // namespace
+}  // namespace sycamorehinge::testing
--- a/packages/net/include/sycamorehinge/net/http_server.h
+++ b/packages/net/include/sycamorehinge/net/http_server.h
@@ -16,6 +16,7 @@
 #include "sycamorehinge/core/error.h"
 #include "sycamorehinge/core/types.h"
 #include "sycamorehinge/net/http_types.h"
+#include "sycamorehinge/net/request_budget.h"
 
 namespace sycamorehinge {
 
@@ -26,10 +27,26 @@
   std::size_t max_body_bytes = std::size_t{1} << 20;
   std::size_t max_header_bytes = std::size_t{16} << 10;
   unsigned max_connections = 1024;
+  // Bytes of all requests and answers that the server holds at the same time.
+  std::size_t max_held_bytes = std::size_t{64} << 20;
   // A request without a reply is answered with 504 after this time.
   duration request_timeout = std::chrono::seconds(60);
-  // Idle connections are closed after this time, rounded up to whole seconds.
+  // Connections are closed after these times: headers that are not complete, and connections
+  // without progress.
+  duration header_timeout = std::chrono::seconds(20);
   duration idle_timeout = std::chrono::seconds(120);
+  // Stop waits this long for the replies to requests that it has received.
+  duration stop_timeout = std::chrono::seconds(60);
+  // Called when a request is refused or a connection closed because of a limit; runs on a thread of
+  // the server and must not block.
+  std::function<void(std::string_view limit)> on_limited;
+};
+
+struct http_server_load {
+  std::size_t connections = 0;
+  std::size_t held_bytes = 0;
+  // Requests refused and connections closed because of a limit.
+  std::uint64_t limited = 0;
 };
 
 // The views are valid only until the handler returns; copy anything needed afterwards.
@@ -78,8 +95,13 @@
   std::uint16_t Port() const;
   std::string Address() const;
 
+  // Replaces the limits of one request. They do not exceed those of the options.
+  void SetLimits(const request_size_limits& limits);
+  http_server_load Load() const;
+
   // Graceful shutdown: refuses new connections, serves existing ones until all responses to
-  // requests in flight are sent, then closes all connections.
+  // requests that have been received are sent, then closes all connections. Requests that are not
+  // complete are not waited for.
   void Stop();
 
  private:
--- a/packages/telemetry/include/sycamorehinge/telemetry/events.h
+++ b/packages/telemetry/include/sycamorehinge/telemetry/events.h
@@ -87,6 +87,7 @@
   kRequestTooLarge,
   kUnauthorized,
   kForbidden,
+  kCallerLimited,
   // The cell and its owner.
   kCellAcquired = 8001,
   kCellLost,
--- a/packages/telemetry/src/event_catalogue.cc
+++ b/packages/telemetry/src/event_catalogue.cc
@@ -160,6 +160,11 @@
                       "find the sender that the event names"},
     event_description{kForbidden, kWarning, "forbidden", "a token does not allow the call",
                       "give the caller another token if it should be allowed"},
+    event_description{
+        kCallerLimited, kWarning, "caller_limited",
+        "requests were refused, or connections of callers closed, because of the limit "
+        "that the event names",
+        "none; if ordinary callers meet it, look for callers that send too much"},
     event_description{kCellAcquired, kInfo, "cell_acquired",
                       "the store assigned the cell to this process and the journal was read",
                       "none"},
