cell, control, net: faults found in review

Cause and change, by file: a stop could meet a connection that began to wait for a reply (http_server); a new owner read the steps of a job whose records are incomplete, counted the cores of tasks that fill hosts too low, and kept a quota reduced for a dead host (quotas, hosts, leases); deadline timers multiplied (call_router); what waits for another tenant's quota counted as ahead of a job (jobs); an owner that was replaced could refuse a job that the next one has accepted (cell_owner_calls); a second tenant's early cancelling was acknowledged and not kept (cancels); gangs that wait for quota or rack kept hosts (placement); a slow store counted as an outage (journal_writer); slow bodies could hold all connections (request_budget). Steps of no use go last only where tenants compete. The unused priority of tenants is gone.

--- a/packages/cell/include/sycamorehinge/cell/admission.h
+++ b/packages/cell/include/sycamorehinge/cell/admission.h
@@ -17,7 +17,7 @@
   std::size_t waiting_steps = 0;
   // Mean time for which they have waited.
   duration mean_age{};
-  // Jobs of the queue that start in a second, as a moving average.
+  // Steps of the queue that start in a second, as a moving average.
   double starts_per_second = 0;
 };
 
--- a/packages/cell/include/sycamorehinge/cell/fleet_config.h
+++ b/packages/cell/include/sycamorehinge/cell/fleet_config.h
@@ -59,8 +59,6 @@
   // that the tenant may submit when capacity is short. 0 for the share of a weight of 1 and no
   // limit of the rate.
   double weight = 0;
-  // 0 is the highest priority.
-  std::uint32_t priority = 0;
   // Resources that the tasks of the tenant may hold at the same time on all hosts; 0 for no limit.
   resources quota{};
 };
--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -165,8 +165,9 @@
   void Pending(call_number call, std::string_view queue);
   // Returns the sequences of the records of submissions that are neither durable nor cancelled.
   std::vector<std::uint64_t> OpenSubmissions() const;
-  // Forgets submissions whose records were not and will not be stored, and refuses their calls with
-  // kLogUnavailable. `retry_after` is spread so that the callers do not return at the same time.
+  // Forgets submissions whose records, in ascending order, were not and will not be stored, and
+  // refuses their calls with kLogUnavailable. `retry_after` is spread so that the callers do not
+  // return at the same time.
   void RefuseSubmissions(std::span<const std::uint64_t> sequences, duration retry_after,
                          time_point now);
 
--- a/packages/cell/include/sycamorehinge/cell/work.h
+++ b/packages/cell/include/sycamorehinge/cell/work.h
@@ -82,7 +82,7 @@
 inline constexpr std::uint32_t kMaxOpenTasks = 8192;
 
 // The platform's callers send at most 4,000 bytes, and short names.
-inline constexpr std::size_t kMaxPayloadBytes = 16 * 1024;
+inline constexpr std::size_t kMaxPayloadBytes = std::size_t{16} << 10;
 inline constexpr std::size_t kMaxNameBytes = 512;
 
 // Returns kTooLarge if the payload or a name is longer than its limit; kMalformed if there are no
--- a/packages/cell/src/admission.cc
+++ b/packages/cell/src/admission.cc
@@ -41,7 +41,7 @@
 duration return_schedule::NextReturn(const refused& decision, const queue_load& load,
                                      time_point now) {
   const double rate = std::max(load.starts_per_second, kMinStartsPerSecond);
-  const duration earliest = std::clamp(decision.excess, kMinReturn, kMaxReturn);
+  const duration earliest = std::clamp(decision.excess, kMinReturn, kMaxReturn / 2);
   next_ = std::max(next_ + Scale(std::chrono::seconds(1), 1 / rate), now + earliest);
   // The schedule is full: the next callers share its times.
   if (next_ > now + kMaxReturn) next_ = now + earliest;
--- a/packages/cell/src/cancels.cc
+++ b/packages/cell/src/cancels.cc
@@ -19,10 +19,12 @@
 // Cancels a job that was never submitted, as far as the owner knows.
 void scheduler::state::CancelUnknown(call_number call, job_number number, std::string_view tenant) {
   const answer_call unknown{call, errc::kUnknownJob};
-  if (const auto known = early_cancels.find(number); known != early_cancels.end()) {
+  const auto known = early_cancels.find(number);
+  if (known != early_cancels.end() && known->second.tenant == tenant) {
     return Answer(unknown, known->second.sequence);
   }
-  if (early_cancels.size() >= options.max_early_cancels) {
+  // One cancelling is kept for each number, so another tenant has to come back.
+  if (known != early_cancels.end() || early_cancels.size() >= options.max_early_cancels) {
     answer_call refused{call, errc::kOverloaded};
     refused.retry_after = kCancelRetryAfter;
     return Answer(refused, 0);
--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -82,6 +82,7 @@
   host.unjournaled_ends.clear();
   host.clock_ms = 0;
   host.orphan_runs = 0;
+  host.orphan_tenants.clear();
   // A start call in flight may reach the restarted host, whose clock is behind the deadline of that
   // call.
   host.lease_expires = now + options.max_lease;
@@ -293,7 +294,11 @@
 void scheduler::state::StopOrphan(host_slot slot, const run_report& report) {
   host_state& host = hosts[slot];
   ++host.orphan_runs;
-  if (const job_entry* job = FindJob(report.task.job)) host.orphan_tenants.push_back(job->tenant);
+  const job_entry* job = FindJob(report.task.job);
+  std::vector<tenant_index>& known = host.orphan_tenants;
+  if (job && std::find(known.begin(), known.end(), job->tenant) == known.end()) {
+    known.push_back(job->tenant);
+  }
   actions.emplace_back(
       stop_task{host.entry.id, host.entry.address, token, report.task, report.run});
 }
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -12,12 +12,16 @@
 
 // The target of a job includes one request to the policy service on this many hosts for each step.
 constexpr std::int64_t kHostsInTarget = 30;
-// Approximate memory of a job and of each of its tasks, with the run of the task.
+// Approximate memory of a job, of each of its steps, and of each task with its run.
 constexpr std::size_t kJobBytes = 2048;
+constexpr std::size_t kStepBytes = 512;
 constexpr std::size_t kTaskBytes = 256;
 constexpr duration kJobBytesInterval = std::chrono::milliseconds(250);
 // For callers whose job does not fit into the memory of the owner.
 constexpr duration kMemoryRetryAfter = std::chrono::milliseconds(2000);
+// A job that is wider than the quota of its tenant can be accepted once the operators change one of
+// them.
+constexpr duration kQuotaRetryAfter = std::chrono::seconds(60);
 // A result later than this many times the target is of no use to the caller.
 constexpr std::int64_t kUsefulTargets = 3;
 
@@ -57,6 +61,11 @@
   return tasks;
 }
 
+std::size_t JobBytes(const job_spec& spec, std::size_t payload_bytes, std::size_t occurrences) {
+  return kJobBytes + payload_bytes + kStepBytes * spec.steps.size() +
+         kTaskBytes * TaskCount(spec) * std::max<std::size_t>(occurrences, 1);
+}
+
 // Returns the length of the longest chain of steps that begins with each step.
 std::vector<duration> ChainsOf(std::span<const step_spec> steps, const queue_settings& queue) {
   std::vector<duration> chains(steps.size());
@@ -171,7 +180,7 @@
   wall_ms = wall;
   if (!owner) return Answer({call, errc::kNotReady}, 0);
   if (const job_entry* known = FindJob(number)) {
-    if (known->tenant_name != tenant) return Answer({call, errc::kForbidden}, 0);
+    if (!MayReach(tenant, known->tenant_name)) return Answer({call, errc::kForbidden}, 0);
     return Answer({call, errc::kOk, known->phase}, known->accepted_sequence);
   }
   const bool known_queue = config->FindQueue(queue) != nullptr;
@@ -183,11 +192,13 @@
   if (code == errc::kOk && !FitsJournal(record)) code = errc::kTooLarge;
   answer_call refusal{call, code};
   if (code == errc::kOk) refusal = Admit(call, record);
+  if (code == errc::kQuotaExceeded) refusal.retry_after = kQuotaRetryAfter;
   if (refusal.code != errc::kOk) {
     LogDecision(decision_kind::kJobRefused, {number}, 0, {}, ErrorName(refusal.code));
     return Answer(refusal, 0);
   }
   if (SubmitCancelled(call, number, queue, tenant)) return;
+  job_bytes += JobBytes(record.spec, record.spec.payload.size(), 1);
   job_entry& job = jobs[number];
   job.queue = record.queue;
   job.accepted_ms = wall;
@@ -206,25 +217,23 @@
 // Decides whether a new job can still end in time. The code of the answer is kOk if so.
 answer_call scheduler::state::Admit(call_number call, const accepted_record& record) {
   answer_call answer{call};
-  const std::size_t bytes =
-      kJobBytes + MaxEncodedBytes(record) + kTaskBytes * TaskCount(record.spec);
-  if (job_bytes + bytes > options.max_job_bytes) {
+  if (job_bytes + JobBytes(record.spec, record.spec.payload.size(), 1) > options.max_job_bytes) {
     answer.code = errc::kOverloaded;
     answer.retry_after = SpreadRetry(kMemoryRetryAfter, record.job);
     return answer;
   }
-  job_bytes += bytes;
   if (!config->HasTenants()) return answer;
   const tenant_index tenant = tenants.IndexOf(record.tenant);
   tenants.CountSubmission(tenant, now);
   const queue_settings& queue = *config->FindQueue(record.queue);
-  const bool lasts = std::any_of(record.spec.steps.begin(), record.spec.steps.end(),
-                                 [](const step_spec& step) { return step.long_running; });
-  if (lasts || record.spec.occurrences > 0) return answer;
+  const bool has_long_running =
+      std::any_of(record.spec.steps.begin(), record.spec.steps.end(),
+                  [](const step_spec& step) { return step.long_running; });
+  if (has_long_running || record.spec.occurrences > 0) return answer;
   const std::vector<duration> chains = ChainsOf(record.spec.steps, queue);
   const admission_request request{*std::max_element(chains.begin(), chains.end()),
                                   TargetOf(chains, queue), tenants.OverRate(tenant)};
-  const queue_load load = LoadOf(record.queue);
+  const queue_load load = LoadOf(record.queue, tenant);
   std::visit(overloaded{[](const admitted&) {},
                         [&](const refused& decision) {
                           answer.code = errc::kOverloaded;
@@ -235,13 +244,17 @@
   return answer;
 }
 
-queue_load scheduler::state::LoadOf(std::string_view queue) {
+// Returns what waits in the queue ahead of a new job of the tenant.
+queue_load scheduler::state::LoadOf(std::string_view queue, tenant_index tenant) {
   queue_load load;
   duration ages{};
   for (const waiting_key& key : waiting) {
     const job_entry* job = FindJob(key.job);
     const step_state* step = FindStep({key.job, key.occurrence, key.step, 0});
     if (!job || !step || job->queue != queue || now > step->latest_useful_start) continue;
+    // What waits for the quota or the share of another tenant is not ahead of the job.
+    const bool behind = tenants.OverShare(job->tenant) || IsQuotaClosed(*job);
+    if (job->tenant != tenant && behind) continue;
     ++load.waiting_steps;
     ages += now - step->ready_since;
   }
@@ -318,9 +331,7 @@
   job_bytes = 0;
   for (const auto& [number, job] : jobs) {
     if (job.Ended()) continue;
-    job_bytes += kJobBytes + (job.payload ? job.payload->size() : 0);
-    job_bytes +=
-        kTaskBytes * TaskCount(job.spec) * std::max<std::size_t>(job.occurrences.size(), 1);
+    job_bytes += JobBytes(job.spec, job.payload ? job.payload->size() : 0, job.occurrences.size());
   }
 }
 
--- a/packages/cell/src/journal.cc
+++ b/packages/cell/src/journal.cc
@@ -117,8 +117,10 @@
 void scheduler::state::RefuseSubmissions(std::span<const std::uint64_t> records,
                                          duration retry_after) {
   const auto refused = [&](std::uint64_t record) {
-    return std::find(records.begin(), records.end(), record) != records.end();
+    return std::binary_search(records.begin(), records.end(), record);
   };
+  // Ends of tasks may wait until the newest record is durable.
+  if (refused(sequence)) Write(term_record{term});
   std::erase_if(deferred_answers, [&](const auto& entry) {
     if (!refused(entry.first)) return false;
     answer_call answer{entry.second.call, errc::kLogUnavailable};
--- a/packages/cell/src/leases.cc
+++ b/packages/cell/src/leases.cc
@@ -134,6 +134,10 @@
                 "the lease of an unreachable host expired", now - host.unreachable_since);
     CloseRun(id, "the lease of an unreachable host expired");
   }
+  if (now >= LongestLeaseExpiry(hosts[slot])) {
+    hosts[slot].orphan_runs = 0;
+    hosts[slot].orphan_tenants.clear();
+  }
   if (!hosts[slot].listed && hosts[slot].runs.empty()) RemoveHostRecord(hosts[slot]);
 }
 
--- a/packages/cell/src/near_room.cc
+++ b/packages/cell/src/near_room.cc
@@ -1,6 +1,6 @@
 // Room near the data or the group of a step: when it is expected, and which tasks wait for it.
 #include <algorithm>
-#include <set>
+#include <map>
 
 #include "state.h"
 
@@ -43,12 +43,14 @@
   }
   std::sort(ends.begin(), ends.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
+  const std::uint32_t spread = wanted.spec->spread_limit;
+  const auto limited = [&](std::uint32_t fit) { return spread > 0 ? std::min(fit, spread) : fit; };
   resources free = host.Free();
-  std::uint32_t copies = CopiesThatFit(free, wanted.task_size);
+  std::uint32_t copies = limited(CopiesThatFit(free, wanted.task_size));
   times.insert(times.end(), copies, now);
   for (const auto& [end, size] : ends) {
     free += size;
-    const std::uint32_t then = CopiesThatFit(free, wanted.task_size);
+    const std::uint32_t then = limited(CopiesThatFit(free, wanted.task_size));
     if (then > copies) times.insert(times.end(), then - copies, end);
     copies = std::max(copies, then);
   }
@@ -74,6 +76,8 @@
 
 // Returns whether the step should wait for room that is expected at `at`, where it runs faster.
 bool scheduler::state::PaysToWait(const demand& wanted, step_state& step, time_point at) {
+  // A step that is late for its target waits no longer.
+  if (now > step.latest_start) return false;
   locality_request request;
   request.run_time = wanted.spec->run_time;
   request.far_factor = options.far_factor;
@@ -110,17 +114,19 @@
 bool scheduler::state::GangWaitsForRack(const demand& wanted, step_state& step) {
   const step_spec& spec = *wanted.spec;
   if (options.far_factor <= 1 || (!spec.same_rack && spec.rack.empty())) return false;
-  std::set<std::string_view> racks;
-  for (const host_state& host : hosts) {
-    if (spec.rack.empty() || host.entry.rack.value == spec.rack)
-      racks.insert(host.entry.rack.value);
+  const time_point until = now + ExtraTime(spec);
+  std::map<std::string_view, std::vector<time_point>> racks;
+  for (host_slot slot = 0; slot < hosts.size(); ++slot) {
+    const std::string& rack = hosts[slot].entry.rack.value;
+    if (spec.rack.empty() || rack == spec.rack) AddExpectedRoom(wanted, slot, until, racks[rack]);
   }
+  const std::size_t members = step.tasks.size();
   time_point earliest = time_point::max();
-  for (const std::string_view rack : racks) {
-    const std::vector<time_point> times = ExpectedRoom(wanted, rack);
-    if (times.size() >= step.tasks.size()) {
-      earliest = std::min(earliest, times[step.tasks.size() - 1]);
-    }
+  for (auto& [rack, times] : racks) {
+    if (times.size() < members) continue;
+    const auto last = times.begin() + static_cast<std::ptrdiff_t>(members - 1);
+    std::nth_element(times.begin(), last, times.end());
+    earliest = std::min(earliest, *last);
   }
   return PaysToWait(wanted, step, earliest);
 }
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -63,8 +63,8 @@
 // Tries to place waiting steps in order of priority and age. Within a priority, steps of tenants
 // that hold more than their share come last, and steps that are too late for the target of their
 // queue after those that are not, so that a backlog does not make every later job miss its target
-// too. Jobs beyond the rate of their tenant, and last those whose result is of no use any more, get
-// what the others leave.
+// too. Where tenants compete, steps whose result can be of no use any more get what the others
+// leave.
 void scheduler::state::Pass() {
   if (!pass_needed || !owner || !may_start || now < next_pass) return;
   if (!MayGrantLeases()) return;
@@ -75,7 +75,8 @@
   UpdateHeadroom();
   UpdateTenants();
   struct candidate {
-    bool useless;
+    // The result of the job can be of no use any more; counts only where tenants compete.
+    bool past_useful_start;
     std::uint32_t priority;
     bool over_share;
     bool late;
@@ -87,12 +88,12 @@
     const step_state* step = FindStep({key.job, key.occurrence, key.step, 0});
     const job_entry* job = FindJob(key.job);
     if (!job || !step) continue;
-    candidates.push_back({now > step->latest_useful_start, key.priority,
+    candidates.push_back({config->HasTenants() && now > step->latest_useful_start, key.priority,
                           tenants.OverShare(job->tenant), now > step->latest_start, key});
   }
   std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-    return std::tie(a.useless, a.priority, a.over_share, a.late) <
-           std::tie(b.useless, b.priority, b.over_share, b.late);
+    return std::tie(a.past_useful_start, a.priority, a.over_share, a.late) <
+           std::tie(b.past_useful_start, b.priority, b.over_share, b.late);
   });
   if (candidates.size() > options.max_steps_per_pass) {
     candidates.resize(options.max_steps_per_pass);
@@ -119,7 +120,11 @@
   if (attempts_exhausted && !SpecOf(*job, key.step).long_running) {
     return FinishJob(key.job, *job, job_phase::kFailed, "a task failed too often");
   }
-  if (IsQuotaClosed(*job)) return LogWait(ref, *job, *step);
+  if (IsQuotaClosed(*job)) {
+    ReleaseReservedCapacity(*step, SpecOf(*job, key.step));
+    ReleaseReservedHosts(*step);
+    return LogWait(ref, *job, *step);
+  }
   if (!LeavesHeadroom(DemandOf(ref, *job, *step))) return LogWait(ref, *job, *step);
   if (SpecOf(*job, key.step).gang) {
     PlaceGang(ref, *job, *step);
@@ -151,7 +156,6 @@
   if (wanted.spec->gang && step.active_runs > 0)
     return "members of the previous run have not ended";
   if (!step.advice_requests.empty()) return "waiting for the policy service";
-  if (step.near_wait_since != time_point()) return "waiting for room near its data or group";
   std::uint32_t capacity = 0;
   std::uint32_t approved_capacity = 0;
   std::uint32_t approved_hosts = 0;
@@ -168,6 +172,7 @@
     return "the tenant is at its quota";
   if (capacity < needed) return "no room";
   if (!LeavesHeadroom(wanted)) return "capacity is kept for more urgent queues";
+  if (step.near_wait_since != time_point()) return "waiting for room near its data or group";
   if (wanted.NeedsAdvice() && approved_capacity < needed) {
     const auto asked = std::count_if(step.verdicts.begin(), step.verdicts.end(),
                                      [](const policy_verdict& verdict) { return verdict.known; });
@@ -300,6 +305,7 @@
   run_state& run = runs.at(id);
   task.active_run = id;
   ++step.active_runs;
+  step.near_wait_since = time_point();
   run.checkpoint = task.checkpoint;
   if (slot < step.verdicts.size()) run.ticket = step.verdicts[slot].ticket;
   DecayStartRates();
@@ -372,10 +378,14 @@
   const auto chosen = ChooseGangHosts(wanted, true);
   if (chosen.empty()) {
     if (wanted.NeedsAdvice()) RequestAdviceForGang(ref, wanted, step);
-    return ReserveHosts(wanted);
+    ReserveHosts(wanted);
+    return KeepQuotaForGang(wanted, job);
   }
   if (!IsNear(*wanted.spec, chosen)) {
-    if (GangWaitsForRack(wanted, step)) return;
+    if (GangWaitsForRack(wanted, step)) {
+      ReleaseReservedCapacity(step, *wanted.spec);
+      return ReleaseReservedHosts(step);
+    }
     far_starts += step.tasks.size();
   }
   ReleaseReservedCapacity(step, *wanted.spec);
@@ -423,6 +433,7 @@
 void scheduler::state::ReserveHosts(const demand& wanted) {
   const step_state& step = *wanted.step;
   ReleaseHostsOfOtherServices(wanted);
+  if (config->HasTenants() && now > step.latest_useful_start) return ReleaseReservedHosts(step);
   if (!step.reserved_capacity.empty() || now - step.ready_since < options.gang_reserve_delay)
     return;
   const bool kept = std::any_of(hosts.begin(), hosts.end(), [&](const host_state& host) {
--- a/packages/cell/src/quotas.cc
+++ b/packages/cell/src/quotas.cc
@@ -23,15 +23,11 @@
           std::min(a.accelerators, b.accelerators), 0};
 }
 
-resources NotNegative(const resources& size) {
-  return {std::max<std::int64_t>(size.cores_milli, 0), std::max<std::int64_t>(size.memory_mb, 0),
-          std::max<std::int64_t>(size.accelerators, 0), 0};
-}
-
 }  // namespace
 
 // Called at the beginning of each placement pass.
 void scheduler::state::UpdateTenants() {
+  closed_quotas.assign(tenants.Count(), false);
   if (!config->HasTenants()) return;
   resources capacity;
   for (const host_state& host : hosts) {
@@ -43,7 +39,6 @@
     if (const job_entry* job = FindJob(key.job)) waits[job->tenant] = true;
   }
   tenants.UpdateShares(waits);
-  closed_quotas.assign(tenants.Count(), false);
   UpdateUncertainUsage();
 }
 
@@ -59,15 +54,16 @@
 
 // Computes what runs that the owner does not know may hold of each quota. Runs that earlier owners
 // started are on hosts that have not been polled, so they hold no more than the capacity of these
-// hosts, and no more than the tasks that may have been started. Runs of ended jobs on a host that
-// reports them hold no more than what is free there.
+// hosts, and no more than the tasks that may have been started. Runs of ended jobs hold no more
+// than the capacity of the host that reports them. Tasks that fill a host take no cores of its
+// capacity, but their cores count against the quota.
 void scheduler::state::UpdateUncertainUsage() {
   resources unpolled;
   std::vector<resources> uncertain;
   const resources largest = recovering ? LargestCapacity() : resources();
   for (const host_state& host : hosts) {
     for (const tenant_index tenant : host.orphan_tenants) {
-      AddTo(uncertain, tenant, NotNegative(host.Free()));
+      AddTo(uncertain, tenant, host.entry.capacity);
     }
     if (!recovering || host.polled || (!host.listed && !host.journaled)) continue;
     // The capacity of a host that is not listed is not known.
@@ -81,6 +77,7 @@
   for (tenant_index tenant = 0; recovering && tenant < tenants.Count(); ++tenant) {
     const bool bounded = tenant < earlier_usage.size() && !earlier_usage_unknown[tenant];
     AddTo(uncertain, tenant, bounded ? Smaller(unpolled, earlier_usage[tenant]) : unpolled);
+    if (tenant < earlier_filling.size()) uncertain[tenant].cores_milli += earlier_filling[tenant];
   }
   tenants.SetUncertain(std::move(uncertain));
 }
@@ -89,7 +86,13 @@
 void scheduler::state::UpdateEarlierUsage() {
   earlier_usage.assign(tenants.Count(), {});
   earlier_usage_unknown.assign(tenants.Count(), false);
+  earlier_filling.assign(tenants.Count(), 0);
   for (const auto& [number, job] : jobs) {
+    if (!job.Ended() && !job.active) {
+      // Its tasks are not known.
+      earlier_usage_unknown[job.tenant] = true;
+      continue;
+    }
     if (job.Ended() && job.phase != job_phase::kCompleted &&
         wall_ms - job.ended_ms < ToMs(kMaxStopTime)) {
       earlier_usage_unknown[job.tenant] = true;
@@ -100,8 +103,10 @@
         const auto open = std::count_if(tasks.begin(), tasks.end(), [](const task_state& task) {
           return task.maybe_running && !task.done && task.active_run == kNoRun;
         });
+        const step_spec& spec = SpecOf(job, i);
         earlier_usage[job.tenant] +=
-            Multiply(SpecOf(job, i).size, static_cast<std::uint32_t>(open));
+            Multiply(ChargedResources(spec), static_cast<std::uint32_t>(open));
+        if (spec.fills) earlier_filling[job.tenant] += spec.size.cores_milli * open;
       }
     }
   }
@@ -119,6 +124,17 @@
   return false;
 }
 
+// A gang that has hosts reserved keeps the quota that it needs from later steps of its tenant.
+void scheduler::state::KeepQuotaForGang(const demand& wanted, const job_entry& job) {
+  const bool reserved = std::any_of(hosts.begin(), hosts.end(), [&](const host_state& host) {
+    return host.reserved_for == wanted.step;
+  });
+  const auto members = static_cast<std::uint32_t>(wanted.step->tasks.size());
+  if (reserved && !tenants.Allows(job.tenant, {wanted.spec->size, 2 * members})) {
+    closed_quotas[job.tenant] = true;
+  }
+}
+
 bool scheduler::state::IsQuotaClosed(const job_entry& job) const {
   return job.tenant < closed_quotas.size() && closed_quotas[job.tenant];
 }
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -371,7 +371,7 @@
   void CompleteStepIfDone(const task_ref& ref, job_entry& job);
   void RemoveExpiredJobs(std::int64_t wall);
   answer_call Admit(call_number call, const accepted_record& record);
-  queue_load LoadOf(std::string_view queue);
+  queue_load LoadOf(std::string_view queue, tenant_index tenant);
   void SetLatestStarts(job_entry& job, std::uint32_t occurrence, std::uint32_t index);
   std::int64_t DueMs(const job_entry& job, std::uint32_t occurrence) const;
 
@@ -466,6 +466,7 @@
   void UpdateEarlierUsage();
   resources LargestCapacity() const;
   bool QuotaAllows(const demand& wanted, const job_entry& job, std::uint32_t count);
+  void KeepQuotaForGang(const demand& wanted, const job_entry& job);
   bool IsQuotaClosed(const job_entry& job) const;
 
   // --- gangs (gangs.cc) ---
@@ -593,6 +594,8 @@
   // and the tenants whose ended jobs may still have runs, of unknown size.
   std::vector<resources> earlier_usage;
   std::vector<bool> earlier_usage_unknown;
+  // Cores of those of these tasks that fill hosts.
+  std::vector<std::int64_t> earlier_filling;
   time_point next_earlier_usage_at;
 
   std::unordered_map<job_number, job_entry> jobs;
--- a/packages/cell/tests/locality_test.cc
+++ b/packages/cell/tests/locality_test.cc
@@ -25,7 +25,7 @@
 // Two racks of two hosts. A job that takes `busy` fills the hosts of rack "near" but for `free`
 // cores on each.
 void StartCell(simulated_cell& cell, duration busy, std::int64_t free = 0) {
-  cell.AddQueue("q");
+  cell.AddQueue("q").stretch = 4;
   for (const char* rack : {"near", "far"}) {
     for (const char* number : {"0", "1"}) cell.AddHost(std::string(rack) + number, kHost, rack);
   }
--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -164,12 +164,14 @@
   if (state.deadlines.empty() || state.deadlines.begin()->first >= state.next_deadline_timer)
     return;
   const time_point at = state.next_deadline_timer = state.deadlines.begin()->first;
-  out.push_back([this, at] { port_.run_at(at, [this] { OnDeadline(); }); });
+  out.push_back([this, at] { port_.run_at(at, [this, at] { OnDeadline(at); }); });
 }
 
-void call_router::OnDeadline() {
+void call_router::OnDeadline(time_point at) {
   const time_point now = port_.now();
   Update([&](routing_state& state, effects& out) {
+    // A timer for an earlier deadline has taken over from this one.
+    if (at != state.next_deadline_timer) return;
     state.next_deadline_timer = time_point::max();
     while (!state.deadlines.empty() && state.deadlines.begin()->first <= now) {
       GiveUp(state, state.deadlines.begin()->second, out);
--- a/packages/control/src/call_router.h
+++ b/packages/control/src/call_router.h
@@ -124,7 +124,7 @@
   // Sends the next attempt unless there have been others than `attempts` meanwhile.
   void Retry(std::uint64_t id, std::uint32_t attempts);
   void ScheduleDeadline(routing_state& state, effects& out);
-  void OnDeadline();
+  void OnDeadline(time_point at);
   void Finish(routing_state& state, std::uint64_t id, peer_answer answer, effects& out);
   void Refuse(routing_state& state, std::uint64_t id, errc code, effects& out);
   void GiveUp(routing_state& state, std::uint64_t id, effects& out);
--- a/packages/control/src/cell_owner_calls.cc
+++ b/packages/control/src/cell_owner_calls.cc
@@ -108,6 +108,8 @@
 time_point cell_owner::NeededConfirmation(const open_call& call, errc code) {
   if (call.kind == read_kind::kCount) return call.arrived - kMaxCountAge;
   if (call.kind == read_kind::kJobState && code == errc::kUnknownJob) return call.arrived;
+  // The next owner may have accepted a job that this one refuses.
+  if (code == errc::kOverloaded || code == errc::kQuotaExceeded) return call.arrived;
   return time_point::min();
 }
 
--- a/packages/control/src/journal_writer.cc
+++ b/packages/control/src/journal_writer.cc
@@ -22,6 +22,7 @@
 // An append without an answer for this multiple of the average answer time means an outage, so that
 // callers learn of one soon. A store that is only slow answers in 400 ms.
 constexpr int kOutageAnswerTimes = 5;
+constexpr duration kMinSilentLimit = std::chrono::milliseconds(450);
 constexpr duration kMaxSilentLimit = std::chrono::milliseconds(1000);
 // Bounds the time until a writer is confirmed again once the store is back.
 constexpr duration kConfirmationCheckInterval = std::chrono::milliseconds(250);
@@ -179,14 +180,14 @@
 }
 
 duration journal_writer::SilentLimit() const {
-  return std::clamp(answer_time_ * kOutageAnswerTimes, kFailingLimit, kMaxSilentLimit);
+  return std::clamp(answer_time_ * kOutageAnswerTimes, kMinSilentLimit, kMaxSilentLimit);
 }
 
 std::vector<std::uint64_t> journal_writer::Withdraw(std::span<const std::uint64_t> sequences) {
   const std::lock_guard lock(mutex_);
   std::vector<std::uint64_t> withdrawn;
   std::erase_if(pending_, [&](const auto& entry) {
-    if (std::find(sequences.begin(), sequences.end(), entry.first) == sequences.end()) return false;
+    if (!std::binary_search(sequences.begin(), sequences.end(), entry.first)) return false;
     withdrawn.push_back(entry.first);
     return true;
   });
--- a/packages/control/src/journal_writer.h
+++ b/packages/control/src/journal_writer.h
@@ -55,8 +55,8 @@
   // Returns how long the store has stored nothing, if a record added now would probably not become
   // durable soon; otherwise zero.
   duration OutageAge(time_point now);
-  // Removes the records with these sequences that have not been part of an append attempt, and
-  // returns their sequences. Nothing of them has been or will be stored.
+  // Removes the records with these sequences, which are in ascending order, that have not been part
+  // of an append attempt, and returns their sequences. Nothing of them has been or will be stored.
   std::vector<std::uint64_t> Withdraw(std::span<const std::uint64_t> sequences);
   // Drops pending records; their handlers do not run.
   void Stop();
--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -23,7 +23,7 @@
 // Connections of peers and of the readiness check.
 constexpr unsigned kInnerConnections = 400;
 // Each of the three servers may hold this part of the machine's memory for requests and answers.
-constexpr std::size_t kFrontMemoryPart = 8;
+constexpr std::size_t kServerMemoryPart = 8;
 // Part of the memory for jobs, on a machine that owns the cell.
 constexpr std::size_t kJobMemoryPart = 4;
 // Memory of a connection without a request.
@@ -163,7 +163,7 @@
   http_server_options options;
   options.listen = settings.front_address.host;
   options.port = settings.front_address.port;
-  options.max_held_bytes = settings.memory_bytes / kFrontMemoryPart;
+  options.max_held_bytes = settings.memory_bytes / kServerMemoryPart;
   options.stop_timeout = kStopTimeout;
   options.on_limited = [this](std::string_view limit) {
     events_.Write(event_number::kCallerLimited, {{"limit", limit}});
@@ -202,6 +202,10 @@
   exposition page;
   metrics_.WriteTo(page);
   const control::control_summary now = node_->Summary();
+  const auto counter = [&page](std::string_view name, std::string_view help, std::uint64_t value) {
+    page.Family(name, metric_kind::kCounter, help);
+    page.Sample(name, {}, static_cast<double>(value));
+  };
   const auto gauge = [&page](std::string_view name, std::string_view help, double value) {
     page.Family(name, metric_kind::kGauge, help);
     page.Sample(name, {}, value);
@@ -224,13 +228,12 @@
         static_cast<double>(load.connections));
   gauge("sycamorehinge_held_request_bytes", "bytes of requests and answers of callers",
         static_cast<double>(load.held_bytes));
-  gauge("sycamorehinge_limited_requests",
-        "requests refused and connections of callers closed because of a limit",
-        static_cast<double>(load.limited));
-  gauge("sycamorehinge_near_waits", "steps that waited for room near their data or group",
-        static_cast<double>(now.cell.near_waits));
-  gauge("sycamorehinge_far_starts", "tasks that started away from their data or group",
-        static_cast<double>(now.cell.far_starts));
+  counter("sycamorehinge_limited_requests",
+          "requests refused and connections of callers closed because of a limit", load.limited);
+  counter("sycamorehinge_near_waits", "steps that waited for room near their data or group",
+          now.cell.near_waits);
+  counter("sycamorehinge_far_starts", "tasks that started away from their data or group",
+          now.cell.far_starts);
   return page.Text();
 }
 
--- a/packages/entry/tests/crowd_test.cc
+++ b/packages/entry/tests/crowd_test.cc
@@ -9,6 +9,7 @@
 
 #include "daemon.h"
 #include "store_standin.h"
+#include "wire_samples.h"
 
 namespace sycamorehinge::testing {
 namespace {
@@ -21,10 +22,6 @@
 constexpr std::size_t kConnections = 320;
 constexpr std::size_t kPartBytes = 32'768;
 constexpr std::string_view kJobPath = "/q/5c0e7a21d94b36f8";
-constexpr std::string_view kConfig =
-    R"({"version":1,"routes":[{"name":"q","host":"h.example","path_prefix":"/q/","service":"s"}],)"
-    R"("services":[{"name":"s"}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
-    R"("header_timeout_ms":500,"idle_timeout_ms":2000}})";
 
 class crowded_process {
  public:
@@ -63,7 +60,7 @@
 
  private:
   std::string StartStore() {
-    store_.Put("keyed.op", "config", kConfig);
+    store_.Put(platform::testing::kConfigTopic, "config", platform::testing::kSmallConfig);
     return store_.Address();
   }
 
@@ -73,11 +70,8 @@
   daemon process;
 };
 
-std::string LegalBody() {
-  std::string body = R"({"task_spec":")";
-  body.append(kMaxBodyBytes - body.size() - 64, 'x');
-  return body + R"(","steps":[{"count":1}]})";
-}
+// The largest body that is legal, but for a few bytes.
+std::string LegalBody() { return platform::testing::JobOfSize(kMaxBodyBytes - 64); }
 
 std::string LengthHeader(std::size_t bytes) {
   return "Content-Length: " + std::to_string(bytes) + "\r\n";
--- a/packages/net/include/sycamorehinge/net/request_budget.h
+++ b/packages/net/include/sycamorehinge/net/request_budget.h
@@ -2,7 +2,7 @@
 // to no limits use a bounded part of its memory and of its connections.
 //
 // Answers many large bodies at once, requests that are sent slowly or never end, and answers that
-// are not read. A request that makes progress is never closed.
+// are not read. A body that arrives at an ordinary rate is never cut off.
 #ifndef SYCAMOREHINGE_NET_REQUEST_BUDGET_H_
 #define SYCAMOREHINGE_NET_REQUEST_BUDGET_H_
 
@@ -48,6 +48,13 @@
 };
 using request_decision = std::variant<take_request, refuse_request, make_room>;
 
+struct overdue_connections {
+  // No request was in progress.
+  std::vector<connection_id> idle;
+  // A request or an answer made no progress, or the connection gives way to others.
+  std::vector<connection_id> stalled;
+};
+
 // Not thread-safe.
 class request_budget {
  public:
@@ -73,7 +80,7 @@
 
   // Returns connections that have made no progress for too long, and, if most connections are in
   // use, those that have waited longest.
-  std::vector<connection_id> Overdue(time_point now) const;
+  overdue_connections Overdue(time_point now) const;
 
   std::size_t HeldBytes() const { return held_bytes_; }
   std::size_t Connections() const { return connections_.size(); }
@@ -92,7 +99,7 @@
   void Enter(connection_state& state, phase next, time_point now);
   void Hold(connection_state& state, std::size_t bytes);
   request_decision TakeBytes(connection_id id, std::size_t bytes, time_point now);
-  bool IsStalled(const connection_state& state, time_point now) const;
+  bool IsSlowBody(const connection_state& state, time_point now) const;
   bool IsExpired(const connection_state& state, time_point now) const;
 
   const budget_options options_;
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -174,7 +174,8 @@
   void CloseOverdue();
   void ReportLimit(std::string_view limit);
   void ReplyToAll();
-  void ScheduleTimeout(const exchange_ptr& current);
+  bool Accept(MHD_Connection* connection, const exchange_ptr& current);
+  void RemoveAnswered();
   void ExpireRequests();
 
   const http_server_options& options_;
@@ -274,20 +275,21 @@
     const auto found = sockets_.find(id);
     if (found != sockets_.end()) shutdown(found->second, SHUT_RDWR);
   }
-  limited_ += connections.size();
 }
 
 void http_server::impl::CloseOverdue() {
-  bool closed = false;
+  bool limited = false;
   {
     const std::lock_guard lock(mutex_);
     if (stopped_) return;
-    const std::vector<connection_id> overdue = budget_.Overdue(Now(clock_));
-    CloseConnections(overdue);
-    closed = !overdue.empty();
+    const overdue_connections overdue = budget_.Overdue(Now(clock_));
+    CloseConnections(overdue.idle);
+    CloseConnections(overdue.stalled);
+    limited_ += overdue.stalled.size();
+    limited = !overdue.stalled.empty();
     timers_.ScheduleAfter(kOverdueCheckInterval, [this] { CloseOverdue(); });
   }
-  if (closed) ReportLimit("connections without progress");
+  if (limited) ReportLimit("connections without progress");
 }
 
 void http_server::impl::ReportLimit(std::string_view limit) {
@@ -303,6 +305,7 @@
                                },
                                [this](const make_room& room) {
                                  CloseConnections(room.close);
+                                 limited_ += room.close.size();
                                  return true;
                                }},
                     decision);
@@ -330,12 +333,10 @@
     return server->OnBody(connection, current, part);
   }
   if (!current->dispatched) {
+    if (!server->Accept(connection, current)) return MHD_NO;
     current->dispatched = true;
     server->Dispatch(connection, method, current);
-    if (current->SuspendUntilReply(connection)) {
-      server->ScheduleTimeout(current);
-      return MHD_YES;
-    }
+    if (current->SuspendUntilReply(connection)) return MHD_YES;
   }
   return server->SendReply(connection, current->TakeReply());
 }
@@ -397,11 +398,6 @@
 
 void http_server::impl::Dispatch(MHD_Connection* connection, const char* method,
                                  const exchange_ptr& current) {
-  {
-    const std::lock_guard lock(mutex_);
-    ++in_flight_;
-    budget_.OnReceived(IdOf(connection), Now(clock_));
-  }
   const std::vector<http_header_view> headers = CollectValues(connection, MHD_HEADER_KIND);
   const std::vector<http_header_view> values = CollectValues(connection, MHD_GET_ARGUMENT_KIND);
   http_request request;
@@ -431,17 +427,27 @@
   return queued;
 }
 
-void http_server::impl::ScheduleTimeout(const exchange_ptr& current) {
+// Counts a request that has been received. Returns false if the server has stopped: from then on no
+// connection may begin to wait for a reply.
+bool http_server::impl::Accept(MHD_Connection* connection, const exchange_ptr& current) {
   const std::lock_guard lock(mutex_);
-  // Requests that have been answered would hold their memory until their deadline.
+  if (stopped_) return false;
+  ++in_flight_;
+  budget_.OnReceived(IdOf(connection), Now(clock_));
+  RemoveAnswered();
+  pending_.emplace_back(Now(clock_) + options_.request_timeout, current);
+  if (std::exchange(timer_scheduled_, true)) return true;
+  timers_.ScheduleAt(pending_.front().first, [this] { ExpireRequests(); });
+  return true;
+}
+
+// Requests that have been answered would otherwise hold their memory until their deadline.
+void http_server::impl::RemoveAnswered() {
   const auto answered = [](const std::weak_ptr<exchange>& row) {
     const exchange_ptr request = row.lock();
     return !request || request->HasReply();
   };
   while (!pending_.empty() && answered(pending_.front().second)) pending_.pop_front();
-  pending_.emplace_back(Now(clock_) + options_.request_timeout, current);
-  if (std::exchange(timer_scheduled_, true)) return;
-  timers_.ScheduleAt(pending_.front().first, [this] { ExpireRequests(); });
 }
 
 void http_server::impl::ExpireRequests() {
@@ -449,19 +455,18 @@
   {
     const std::lock_guard lock(mutex_);
     const time_point now = Now(clock_);
-    while (!pending_.empty()) {
-      exchange_ptr current = pending_.front().second.lock();
-      const bool open = current && !current->HasReply();
-      if (open && pending_.front().first > now) break;
-      if (open) expired.push_back(std::move(current));
-      pending_.pop_front();
+    for (const auto& [deadline, row] : pending_) {
+      if (deadline > now) break;
+      if (exchange_ptr current = row.lock()) expired.push_back(std::move(current));
     }
-    timer_scheduled_ = !pending_.empty();
-    if (timer_scheduled_) timers_.ScheduleAt(pending_.front().first, [this] { ExpireRequests(); });
   }
   for (const exchange_ptr& current : expired) {
     current->Reply(ErrorResponse(errc::kTimeout, "the request took too long"));
   }
+  const std::lock_guard lock(mutex_);
+  RemoveAnswered();
+  timer_scheduled_ = !pending_.empty();
+  if (timer_scheduled_) timers_.ScheduleAt(pending_.front().first, [this] { ExpireRequests(); });
 }
 
 // Ends requests that no handler has answered, before the server stops.
--- a/packages/net/src/request_budget.cc
+++ b/packages/net/src/request_budget.cc
@@ -74,7 +74,7 @@
   std::vector<std::pair<std::size_t, connection_id>> stalled;
   std::size_t available = options_.max_bytes - std::min(held_bytes_, options_.max_bytes);
   for (const auto& [other, row] : connections_) {
-    if (other != id && IsStalled(row, now)) stalled.emplace_back(row.held, other);
+    if (other != id && row.held > 0 && IsSlowBody(row, now)) stalled.emplace_back(row.held, other);
   }
   std::sort(stalled.rbegin(), stalled.rend());
   make_room room;
@@ -89,8 +89,8 @@
   return room;
 }
 
-bool request_budget::IsStalled(const connection_state& state, time_point now) const {
-  if (state.current != phase::kBody || state.held == 0) return false;
+bool request_budget::IsSlowBody(const connection_state& state, time_point now) const {
+  if (state.current != phase::kBody) return false;
   const duration open = now - state.phase_began;
   if (open < kStallTime) return false;
   const double rate =
@@ -134,22 +134,25 @@
   return false;
 }
 
-std::vector<connection_id> request_budget::Overdue(time_point now) const {
-  std::vector<connection_id> overdue;
+overdue_connections request_budget::Overdue(time_point now) const {
+  overdue_connections overdue;
   std::vector<std::pair<time_point, connection_id>> waiting;
   for (const auto& [id, state] : connections_) {
+    const bool silent = state.current != phase::kWork && now - state.last_progress >= kStallTime;
     if (IsExpired(state, now)) {
-      overdue.push_back(id);
-    } else if (state.current != phase::kWork && now - state.last_progress >= kStallTime) {
-      waiting.emplace_back(state.last_progress, id);
+      (state.current == phase::kIdle ? overdue.idle : overdue.stalled).push_back(id);
+    } else if (silent || IsSlowBody(state, now)) {
+      waiting.emplace_back(state.phase_began, id);
     }
   }
   const auto most = static_cast<double>(options_.max_connections);
   if (static_cast<double>(connections_.size()) < kCrowded * most) return overdue;
+  std::size_t left = connections_.size() - overdue.idle.size() - overdue.stalled.size();
   std::sort(waiting.begin(), waiting.end());
   for (const auto& [since, id] : waiting) {
-    if (static_cast<double>(connections_.size() - overdue.size()) <= kUncrowded * most) break;
-    overdue.push_back(id);
+    if (static_cast<double>(left) <= kUncrowded * most) break;
+    overdue.stalled.push_back(id);
+    --left;
   }
   return overdue;
 }
