--- a/packages/entry/src/platform_process.h
+++ b/packages/entry/src/platform_process.h
@@ -10,6 +10,7 @@
 #include "sycamorehinge/net/http_client.h"
 #include "sycamorehinge/net/http_server.h"
 #include "sycamorehinge/net/runtime_clock.h"
+#include "sycamorehinge/platform/config.h"
 #include "sycamorehinge/platform/hosts.h"
 #include "sycamorehinge/platform/settings.h"
 #include "sycamorehinge/platform/store.h"
