--- a/packages/ctl/src/commands/check.cc
+++ b/packages/ctl/src/commands/check.cc
@@ -1,3 +1,4 @@
+#include "commands/check_platform.h"
 #include "commands/commands.h"
 #include "files.h"
 #include "json_fields.h"
@@ -12,6 +13,8 @@
 struct check_options {
   std::string file;
   std::string kind = "auto";
+  std::string platform;
+  std::string in_force;
 };
 
 template <class T>
@@ -58,6 +61,10 @@
 }
 
 exit_code RunCheck(command_context& context, const check_options& options) {
+  if (!options.platform.empty()) {
+    return CheckPlatform(context, options.platform, options.in_force);
+  }
+  if (options.file.empty()) return FailUsage(context, "check: FILE or --platform is required");
   const result<std::string> text = ReadInput(options.file);
   if (!text) return FailUsage(context, text.detail());
   const file_kind kind = KindOf(options, *text);
@@ -76,12 +83,23 @@
 
 void AddCheckCommand(command_registry& registry) {
   AddCommand<check_options>(
-      registry, "check", "Check a settings file, environment document or job file",
+      registry, "check",
+      "Check a settings file, environment document, job file or platform configuration",
       [](CLI::App& app, check_options& options) {
-        app.add_option("FILE", options.file, "File to check; - is standard input")->required();
-        app.add_option("--kind", options.kind, "Kind of the file")
-            ->check(CLI::IsMember({"auto", "settings", "environment", "job"}))
-            ->capture_default_str();
+        CLI::Option* file =
+            app.add_option("FILE", options.file, "File to check; - is standard input");
+        CLI::Option* kind = app.add_option("--kind", options.kind, "Kind of the file")
+                                ->check(CLI::IsMember({"auto", "settings", "environment", "job"}))
+                                ->capture_default_str();
+        CLI::Option* platform =
+            app.add_option("--platform", options.platform,
+                           "Platform configuration (JSON) to check instead of FILE; prints errors, "
+                           "warnings and changes, and fails on errors only")
+                ->excludes(file)
+                ->excludes(kind);
+        app.add_option("--in-force", options.in_force,
+                       "Platform configuration in force, to compare with --platform")
+            ->needs(platform);
       },
       RunCheck);
 }
--- a/packages/ctl/src/json_fields.cc
+++ b/packages/ctl/src/json_fields.cc
@@ -15,8 +15,6 @@
 
 }  // namespace
 
-json ParseJson(std::string_view text) { return json::parse(text, nullptr, false); }
-
 std::string TextField(const json& object, std::string_view key) {
   const json* field = Find(object, key);
   return field != nullptr && field->is_string() ? field->get<std::string>() : std::string();
--- a/packages/ctl/src/json_fields.h
+++ b/packages/ctl/src/json_fields.h
@@ -7,10 +7,9 @@
 #include <string>
 #include <string_view>
 
-namespace sycamorehinge {
+#include "sycamorehinge/net/json_fields.h"
 
-// A discarded value for text that is not JSON.
-nlohmann::json ParseJson(std::string_view text);
+namespace sycamorehinge {
 
 std::string TextField(const nlohmann::json& object, std::string_view key);
 std::int64_t NumberField(const nlohmann::json& object, std::string_view key);
--- a/packages/ctl/tests/command_test.cc
+++ b/packages/ctl/tests/command_test.cc
@@ -231,5 +231,47 @@
   std::filesystem::remove(path);
 }
 
+// Guards against a configuration that is sent although every process would reject it, and against
+// keys and the network in a check of files.
+TEST_CASE("Check reports findings on a platform configuration") {
+  const std::string example = SYCAMOREHINGE_SOURCE "/platform/examples/config.json";
+  const std::string path =
+      (std::filesystem::temp_directory_path() / "sycamorehinge_ctl_check.json").string();
+  fake_api api;
+  CHECK(api.Run({"check", "--platform", example}) == 0);
+  CHECK(Contains(api.out, "platform configuration without errors"));
+  CHECK(api.Run({"check", "--platform", example, "--in-force", example}) == 1);
+  CHECK(Contains(api.out, "error: configuration: version 8 is not higher than version 8 in force"));
+
+  std::ifstream file(example);
+  nlohmann::json next = ParseJson(std::string{std::istreambuf_iterator<char>(file), {}});
+  next["version"] = 9;
+  next["limits"] = nlohmann::json::object();
+  next["services"].push_back({{"name", "idle"}});
+  std::ofstream(path) << next;
+  api.out.str("");
+  CHECK(api.Run({"check", "--platform", path, "--in-force", example}) == 0);
+  CHECK(Contains(api.out, "warning: service 'idle': has no queue\n"));
+  CHECK(Contains(api.out, "change: service 'idle': added\n"));
+  CHECK(Contains(api.out, "change: limits: "));
+  CHECK_FALSE(Contains(api.out, "replace-this"));
+
+  next["tenants"][1]["weight"] = -1;
+  next["version"] = "9";
+  std::ofstream(path) << next;
+  api.out.str("");
+  CHECK(api.Run({"check", "--platform", path, "--output", "json"}) == 1);
+  CHECK(ParseJson(api.out.str())["findings"].size() == 2);
+  CHECK(Contains(api.out, "tenants[1]: a field is missing"));
+  CHECK(api.Run({"check", "--platform", example, "--in-force", "/dev/null"}) == 1);
+  CHECK(Contains(api.out, "in force: the text is not a JSON object"));
+
+  CHECK(api.Run({"check"}) == 2);
+  CHECK(api.Run({"check", path, "--platform", path}) == 2);
+  CHECK(api.Run({"check", path, "--in-force", path}) == 2);
+  CHECK(api.calls.empty());
+  std::filesystem::remove(path);
+}
+
 }  // namespace
 }  // namespace sycamorehinge
