--- a/packages/cell/src/config_changes.cc
+++ b/packages/cell/src/config_changes.cc
@@ -88,7 +88,6 @@
 
 void AddChanges(const tenant_settings& before, const tenant_settings& after, field_changes& out) {
   out.Add("weight", before.weight, after.weight);
-  out.Add("priority", before.priority, after.priority);
   out.Add("quota of cores (thousandths)", before.quota.cores_milli, after.quota.cores_milli);
   out.Add("quota of memory (MB)", before.quota.memory_mb, after.quota.memory_mb);
   out.Add("quota of accelerators", before.quota.accelerators, after.quota.accelerators);
