--- a/packages/entry/tests/daemon.cc
+++ b/packages/entry/tests/daemon.cc
@@ -34,10 +34,10 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
-  bind(fd, reinterpret_cast<const sockaddr*>(&address), size);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  const bool bound = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), size) == 0 &&
+                     getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
   close(fd);
-  return ntohs(address.sin_port);
+  return bound ? ntohs(address.sin_port) : std::uint16_t{0};
 }
 
 std::string Endpoint(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
