cell: waiting steps that fit nowhere do not block all others

Cause: a pass considered the first 400 waiting steps in order. Steps of a removed queue came first and had the same effect.

Change: three quarters of the limit go to the first steps, the rest takes turns among the others from pass to pass. Steps of a queue that is not configured are not considered.

With 400 waiting steps or fewer nothing changes.

--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -1,6 +1,7 @@
 // Placement of waiting tasks on hosts.
 #include <algorithm>
 #include <limits>
+#include <numeric>
 #include <utility>
 
 #include "state.h"
@@ -13,6 +14,8 @@
 // time spent in passes.
 constexpr duration kMinPassInterval = std::chrono::milliseconds(2);
 constexpr duration kPassIntervalPerStep = std::chrono::microseconds(60);
+// Part of the steps of a pass that take turns, if not all can be considered.
+constexpr std::size_t kTurnParts = 4;
 // The reason for a wait is logged after this time, and repeated at this interval.
 constexpr duration kWaitLogInterval = std::chrono::seconds(5);
 
@@ -86,8 +89,9 @@
   candidates.reserve(waiting.size());
   for (const waiting_key& key : waiting) {
     const step_state* step = FindStep({key.job, key.occurrence, key.step, 0});
-    const job_entry* job = FindJob(key.job);
-    if (!job || !step) continue;
+    job_entry* job = FindJob(key.job);
+    // Steps of a queue that was removed wait until it is configured again.
+    if (!job || !step || !QueueOf(*job)) continue;
     candidates.push_back({config->HasTenants() && now > step->latest_useful_start, key.priority,
                           tenants.OverShare(job->tenant), now > step->latest_start, key});
   }
@@ -95,13 +99,26 @@
     return std::tie(a.past_useful_start, a.priority, a.over_share, a.late) <
            std::tie(b.past_useful_start, b.priority, b.over_share, b.late);
   });
-  if (candidates.size() > options.max_steps_per_pass) {
-    candidates.resize(options.max_steps_per_pass);
-  }
-  for (const candidate& next : candidates) {
+  for (const std::size_t index : ConsideredSteps(candidates.size())) {
     if (open_starts >= options.max_open_starts) break;
-    TryPlace(next.key);
+    TryPlace(candidates[index].key);
+  }
+}
+
+// Returns the positions of the steps that this pass considers, of `count` in order. If there are
+// more than `max_steps_per_pass`, most are the first ones, and the rest take turns from pass to
+// pass. Otherwise, many first steps that fit nowhere would keep all others from starting.
+std::vector<std::size_t> scheduler::state::ConsideredSteps(std::size_t count) {
+  const std::size_t most = options.max_steps_per_pass;
+  const std::size_t first = count > most ? most - most / kTurnParts : count;
+  std::vector<std::size_t> positions(first);
+  std::iota(positions.begin(), positions.end(), 0);
+  if (count <= most) return positions;
+  for (std::size_t i = first; i < most; ++i) {
+    if (next_turn < first || next_turn >= count) next_turn = first;
+    positions.push_back(next_turn++);
   }
+  return positions;
 }
 
 void scheduler::state::TryPlace(const waiting_key& key) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -481,6 +481,7 @@
 
   // --- placement (placement.cc) ---
   void Pass();
+  std::vector<std::size_t> ConsideredSteps(std::size_t count);
   void UpdateMaxFree();
   void LogWait(const task_ref& ref, job_entry& job, step_state& step);
   std::string WaitReason(const task_ref& ref, job_entry& job, const step_state& step) const;
@@ -571,6 +572,8 @@
   bool pass_needed = false;
   time_point next_pass;
   time_point next_full_pass;
+  // Position of the next step whose turn it is, while not all steps are considered in a pass.
+  std::size_t next_turn = 0;
   // Per-resource maximum of the free resources over all usable hosts at the start of the pass.
   resources max_free;
   time_point now;
--- a/packages/cell/tests/scheduler_test.cc
+++ b/packages/cell/tests/scheduler_test.cc
@@ -436,5 +436,44 @@
   CHECK(cell.AnswerTo(150) == errc::kUnknownJob);
 }
 
+// Guards against waiting steps that no host can run and that use up the limit of each pass, so that
+// less urgent work never starts beside idle hosts.
+TEST_CASE("Steps that fit nowhere do not keep later ones from starting") {
+  scheduler_options options;
+  options.max_steps_per_pass = 20;
+  simulated_cell cell(options);
+  cell.AddQueue("urgent", 0);
+  cell.AddQueue("other", 1);
+  cell.AddHost("h0", resources{8000, 16'000, 0, 0});
+  cell.StartFirstOwner();
+  job_spec hopeless = OneStep(1, 1000, seconds(1));
+  hopeless.steps[0].label = "missing";
+  for (job_number job = 1; job <= 60; ++job) cell.Submit(job, "urgent", hopeless);
+  cell.Submit(100, "other", OneStep(1, 1000, seconds(1)));
+  CHECK(cell.RunUntil([&] { return cell.Phase(100) == job_phase::kCompleted; }, seconds(5)));
+  CHECK(cell.violations.empty());
+}
+
+// Guards against the waiting steps of a queue that was removed from the configuration, which came
+// first in each pass.
+TEST_CASE("Steps of a removed queue do not keep others from starting") {
+  scheduler_options options;
+  options.max_steps_per_pass = 20;
+  simulated_cell cell(options);
+  cell.AddQueue("removed", 1);
+  cell.AddQueue("other", 2);
+  cell.AddHost("h0", resources{8000, 16'000, 0, 0});
+  cell.StartFirstOwner();
+  cell.Submit(1, "removed", OneStep(8, 1000, seconds(3)));
+  for (job_number job = 2; job <= 60; ++job) {
+    cell.Submit(job, "removed", OneStep(1, 1000, seconds(1)));
+  }
+  cell.Run(seconds(1));
+  cell.RemoveQueue("removed");
+  cell.Submit(100, "other", OneStep(1, 1000, seconds(1)));
+  CHECK(cell.RunUntil([&] { return cell.Phase(100) == job_phase::kCompleted; }, seconds(6)));
+  CHECK(cell.violations.empty());
+}
+
 }  // namespace
 }  // namespace sycamorehinge::cell::testing
