cell: a gang reserves no hosts that tasks that last keep too full

Cause: hosts were reserved for a gang by their whole capacity. Requests to the policy service counted such hosts too.

Change: each host knows what such tasks hold. A gang reserves, and asks about, only what can become free, and gives its hosts up when such tasks, or the loss of hosts, leave it too little.

Without such tasks and lost hosts nothing changes.

--- a/packages/cell/src/advice.cc
+++ b/packages/cell/src/advice.cc
@@ -128,7 +128,7 @@
     if (verdict.known && !verdict.approved) continue;
     if (!IsUsable(host) || !IsEligible(wanted, host)) continue;
     const std::uint32_t copies = UnclaimedCopies(wanted, slot);
-    const std::uint32_t copies_when_empty = CopiesThatFit(host.entry.capacity, wanted.task_size);
+    const std::uint32_t copies_when_empty = CopiesThatFit(host.Reclaimable(), wanted.task_size);
     if (verdict.known) {
       outlook.fit += copies;
       outlook.fit_when_empty += copies_when_empty;
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -453,6 +453,7 @@
   if (config->HasTenants() && now > step.latest_useful_start) return ReleaseReservedHosts(step);
   if (!step.reserved_capacity.empty() || now - step.ready_since < options.gang_reserve_delay)
     return;
+  if (!ReservedHostsSuffice(wanted)) ReleaseReservedHosts(step);
   const bool kept = std::any_of(hosts.begin(), hosts.end(), [&](const host_state& host) {
     return host.reserved_for && host.entry.service == wanted.queue->service;
   });
@@ -462,7 +463,7 @@
     const host_state& host = hosts[slot];
     if (wanted.NeedsAdvice() && !IsApproved(step, slot)) continue;
     if (!IsUsable(host) || !IsEligible(wanted, host)) continue;
-    const std::uint32_t copies = CopiesThatFit(host.entry.capacity, wanted.task_size);
+    const std::uint32_t copies = CopiesThatFit(host.Reclaimable(), wanted.task_size);
     if (copies > 0) candidates.emplace_back(host.allocated.cores_milli, slot, copies);
   }
   std::sort(candidates.begin(), candidates.end());
@@ -480,6 +481,21 @@
   }
 }
 
+// Returns whether the hosts reserved for the gang fit it once their other tasks have ended. Tasks
+// that last may have started there since, and hosts may have gone. True if none is reserved.
+bool scheduler::state::ReservedHostsSuffice(const demand& wanted) const {
+  std::uint32_t capacity = 0;
+  bool any = false;
+  for (const host_state& host : hosts) {
+    if (host.reserved_for != wanted.step) continue;
+    any = true;
+    if (host.listed && !host.entry.draining) {
+      capacity += CopiesThatFit(host.Reclaimable(), wanted.task_size);
+    }
+  }
+  return !any || capacity >= wanted.step->tasks.size();
+}
+
 // Releases reserved hosts that have moved to another service, or whose gang has.
 void scheduler::state::ReleaseHostsOfOtherServices(const demand& wanted) {
   for (host_state& host : hosts) {
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -85,11 +85,13 @@
   run.size = ChargedResources(spec);
   run.tenant = job.tenant;
   run.quota_size = spec.size;
+  run.long_running = spec.long_running;
   run.phase = phase;
   run.started = now;
   run.last_progress = now;
   tenants.Acquire(run.tenant, run.quota_size);
   hosts[slot].allocated += run.size;
+  if (run.long_running) hosts[slot].allocated_to_services += run.size;
   hosts[slot].runs.push_back(id);
   return id;
 }
@@ -102,6 +104,7 @@
   runs.erase(found);
   host_state& host = hosts[run.host];
   host.allocated -= run.size;
+  if (run.long_running) host.allocated_to_services -= run.size;
   tenants.Release(run.tenant, run.quota_size);
   std::erase(host.runs, id);
   pass_needed = true;
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -57,6 +57,7 @@
   std::uint32_t number = 0;
   host_slot host = kNoHost;
   resources size;
+  bool long_running = false;
   // What the run takes of the quota of its tenant.
   tenant_index tenant = tenant_ledger::kNoTenant;
   resources quota_size;
@@ -181,6 +182,8 @@
   // Has answered a poll in this term and since its last restart.
   bool polled = false;
   resources allocated;
+  // Part of it that tasks hold that last until their job is cancelled.
+  resources allocated_to_services;
   std::vector<run_id> runs;
   // Number of reported runs that belong to no job. The host takes no tasks while there are any.
   std::size_t orphan_runs = 0;
@@ -231,6 +234,8 @@
 
   bool HasClock() const { return clock_ms != 0; }
   resources Free() const { return entry.capacity - allocated; }
+  // Resources that are free once all tasks have ended that do end.
+  resources Reclaimable() const { return entry.capacity - allocated_to_services; }
 };
 
 // Sort key of waiting steps: priority, then order of acceptance.
@@ -506,6 +511,7 @@
                        const std::vector<std::pair<host_slot, std::uint32_t>>& chosen);
   void ReleaseReservedCapacity(step_state& step, const step_spec& spec);
   void ReserveHosts(const demand& wanted);
+  bool ReservedHostsSuffice(const demand& wanted) const;
   void ReleaseHostsOfOtherServices(const demand& wanted);
   void ReleaseReservedHosts(const step_state& step);
 
--- a/packages/cell/tests/gang_test.cc
+++ b/packages/cell/tests/gang_test.cc
@@ -187,5 +187,54 @@
   CHECK(racks.size() == 1);
 }
 
+job_spec Service(std::uint32_t tasks, std::int64_t cores) {
+  job_spec spec = OneStep(tasks, cores, seconds(1));
+  spec.steps[0].long_running = true;
+  spec.steps[0].spread_limit = 1;
+  return spec;
+}
+
+// Guards against hosts that are kept for a gang although tasks that last never leave it room there.
+TEST_CASE("A gang reserves no hosts that tasks that last keep too full") {
+  simulated_cell cell;
+  cell.AddQueue("q", 1);
+  cell.AddQueue("other", 2);
+  for (int i = 0; i < 4; ++i) cell.AddHost("h" + std::to_string(i), kHost);
+  cell.StartFirstOwner();
+  cell.run_time = [](const task_ref& task, duration declared) {
+    return task.job == 1 ? seconds(1000) : declared;
+  };
+  cell.Submit(1, "q", Service(4, 3000));
+  REQUIRE(cell.RunUntil([&] { return cell.Running(1) == 4; }, seconds(2)));
+  cell.Submit(2, "q", Gang(4, 6000, seconds(1)));
+  cell.Run(seconds(2));
+  cell.Submit(3, "other", OneStep(2, 500, seconds(1)));
+  CHECK(cell.RunUntil([&] { return cell.Phase(3) == job_phase::kCompleted; }, seconds(4)));
+  CHECK(cell.violations.empty());
+}
+
+// Guards against a reservation that is kept although tasks that last have taken the hosts since.
+TEST_CASE("Reserved hosts are released once tasks that last leave the gang too little") {
+  simulated_cell cell;
+  cell.AddQueue("urgent", 0);
+  cell.AddQueue("q", 1);
+  cell.AddQueue("other", 2);
+  for (int i = 0; i < 4; ++i) cell.AddHost("h" + std::to_string(i), kHost);
+  cell.StartFirstOwner();
+  cell.run_time = [](const task_ref& task, duration declared) {
+    return task.job == 3 ? seconds(1000) : declared;
+  };
+  cell.Submit(1, "q", OneStep(4, 5000, seconds(4)));
+  REQUIRE(cell.RunUntil([&] { return cell.Running(1) == 4; }, seconds(2)));
+  cell.Submit(2, "q", Gang(4, 6000, seconds(1)));
+  REQUIRE(cell.RunUntil([&] { return cell.owner->Summary().reserved_hosts == 4; }, seconds(3)));
+  cell.Submit(3, "urgent", Service(4, 3000));
+  REQUIRE(cell.RunUntil([&] { return cell.Running(3) == 4; }, seconds(3)));
+  cell.Submit(4, "other", OneStep(2, 500, seconds(1)));
+  CHECK(cell.RunUntil([&] { return cell.Phase(4) == job_phase::kCompleted; }, seconds(8)));
+  CHECK(cell.owner->Summary().reserved_hosts == 0);
+  CHECK(cell.violations.empty());
+}
+
 }  // namespace
 }  // namespace sycamorehinge::cell::testing
