cell: a task with many starts in one term starts under the next owner

Cause: each term has 64 run numbers for a task.

Change: an owner skips as many numbers as it has used, at least 64, after each refused one, so a few refusals suffice.

--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -12,6 +12,8 @@
 // An unanswered start is sent again. Hosts ignore a repeated start of the same run.
 constexpr std::uint32_t kMaxStartAttempts = 3;
 constexpr duration kStartRetryDelay = std::chrono::milliseconds(100);
+// Run numbers that are skipped at a time after a host refused one.
+constexpr std::uint32_t kMaxSkippedRuns = 1U << 16U;
 // Time for which a host that refused a start is avoided.
 constexpr duration kRefusedAvoidTime = std::chrono::milliseconds(1000);
 constexpr duration kNoRoomAvoidTime = std::chrono::milliseconds(300);
@@ -226,6 +228,7 @@
   }
   // An earlier attempt may have taken effect, or a run may have ended unseen: stop the run, and let
   // later polls decide.
+  if (outcome == call_outcome::kStaleRun) SkipRunNumbers(run.task);
   if (run.start_attempts > 1 || outcome == call_outcome::kStaleRun) {
     return SendStop(id, "the start may have taken effect");
   }
@@ -237,6 +240,15 @@
   }
 }
 
+// A host refused a run number, since an earlier owner used a higher one. Skips twice as many numbers
+// each time, so that few starts are refused.
+void scheduler::state::SkipRunNumbers(const task_ref& ref) {
+  step_state* step = FindStep(ref);
+  if (!step || ref.index >= step->tasks.size()) return;
+  task_state& task = step->tasks[ref.index];
+  task.starts += std::clamp(task.starts, kRunsPerTerm, kMaxSkippedRuns);
+}
+
 void scheduler::state::OnStop(host_slot slot, const task_ref& ref, std::uint32_t number,
                               call_outcome outcome) {
   if (outcome == call_outcome::kFenced) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -32,7 +32,8 @@
 inline constexpr run_id kNoRun = 0;
 
 // Runs of a task are numbered from (term - 1) * kRunsPerTerm + 1 in each term, since a new owner
-// does not know the last number that the previous owner used.
+// does not know the last number that the previous owner used. A task that was started more often in
+// one term takes numbers of the next ones; a new owner learns of them when a host refuses a number.
 inline constexpr std::uint32_t kRunsPerTerm = 64;
 
 inline std::int64_t ToMs(duration time) {
@@ -463,6 +464,7 @@
   void MarkUncertain(run_id id);
   void StartUnanswered(run_id id);
   void StartRefused(run_id id, call_outcome outcome);
+  void SkipRunNumbers(const task_ref& ref);
   run_id FindRun(host_slot slot, const task_ref& ref, std::uint32_t number) const;
 
   // --- quotas (quotas.cc) ---
--- a/packages/cell/tests/recovery_test.cc
+++ b/packages/cell/tests/recovery_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "simulated_cell.h"
@@ -294,5 +295,36 @@
   CHECK(cell.tasks[{1, 0, 0, 0}].starts == 1);
 }
 
+// Guards against a task that lasts and stays down under the next owner, whose run numbers are lower
+// than those that the hosts have seen. Each refused number costs a stop and a poll.
+TEST_CASE("A task that was started often in one term starts under the next owner") {
+  simulated_cell cell;
+  cell.AddQueue("q");
+  for (int i = 0; i < 3; ++i) cell.AddHost("h" + std::to_string(i), resources{8000, 16'000, 0, 0});
+  cell.StartFirstOwner();
+  bool fails = true;
+  cell.outcome = [&](const task_ref&, std::uint32_t) {
+    return fails ? end_kind::kFailed : end_kind::kDone;
+  };
+  cell.run_time = [&](const task_ref&, duration) {
+    return fails ? duration(milliseconds(20)) : duration(seconds(1000));
+  };
+  job_spec lasting = OneStep(1, 1000, seconds(1));
+  lasting.steps[0].long_running = true;
+  cell.Submit(1, "q", lasting);
+  const task_ref task{1, 0, 0, 0};
+  REQUIRE(cell.RunUntil([&] { return cell.tasks[task].starts > 300; }, seconds(120)));
+  cell.decisions.clear();
+  cell.ReplaceOwner();
+  REQUIRE(cell.RunUntil([&] { return cell.Running(1) == 0; }, seconds(1)));
+  fails = false;
+  CHECK(cell.RunUntil([&] { return cell.Running(1) == 1; }, seconds(15)));
+  const auto refused = std::count_if(
+      cell.decisions.begin(), cell.decisions.end(),
+      [](const log_decision& row) { return row.kind == decision_kind::kStartFailed; });
+  CHECK(refused < 10);
+  CHECK(cell.violations.empty());
+}
+
 }  // namespace
 }  // namespace sycamorehinge::cell::testing
