cell, platform: a run whose end is not listed yet is not taken for lost

Cause: hosts list 500 ends at a time.

Change: a report tells whether more ends may follow. Runs that it does not mention are then left open, and a new owner ends its recovery only when all ends are listed.

--- a/packages/cell/include/sycamorehinge/cell/host.h
+++ b/packages/cell/include/sycamorehinge/cell/host.h
@@ -69,6 +69,8 @@
   std::int64_t started_ms = 0;
   std::vector<run_report> running;
   std::vector<end_report> ended;
+  // More runs may have ended than are listed; the others follow once these are acknowledged.
+  bool more_ended = false;
 };
 
 // Result of a call to a host. All outcomes but kDone and kUnknown mean that the call had no
--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -81,6 +81,7 @@
   host.deadline_ms = 0;
   host.unjournaled_ends.clear();
   host.clock_ms = 0;
+  host.more_ended = false;
   host.orphan_runs = 0;
   host.orphan_tenants.clear();
   // A start call in flight may reach the restarted host, whose clock is behind the deadline of that
@@ -210,6 +211,7 @@
   if (sent >= host.restart_listed_at) host.restart_listed = false;
   host.acknowledged_end = std::max(host.acknowledged_end, host.polled_acknowledged_end);
   host.next_poll = now + options.min_poll_interval;
+  host.more_ended = answer->more_ended;
   ReadClock(host, answer->clock_ms);
   WriteHostRecord(host);
   std::uint64_t newest = host.processed_end;
@@ -259,6 +261,8 @@
     run.checkpoint = report.checkpoint;
     CheckStall(id);
   }
+  // The end of a run that the host does not mention may be one of those that it has not listed yet.
+  if (answer.more_ended) return;
   const std::vector<run_id> held = hosts[slot].runs;
   for (const run_id id : held) {
     if (!seen.contains(id)) ResolveUncertain(id, sent);
@@ -321,12 +325,14 @@
 }
 
 // Ends the recovery, and with it the wait of tasks that earlier owners may have started, once every
-// host has reported its runs or its leases have expired.
+// host has reported its runs and all ends, or its leases have expired.
 void scheduler::state::CheckRecovery() {
   if (!recovering) return;
   const time_point over = EarlierLeaseExpiry();
   const bool open = std::any_of(hosts.begin(), hosts.end(), [&](const host_state& host) {
-    return !host.polled && (host.listed || host.journaled) && now < over;
+    // The ends that a host has not listed yet do not expire with its lease.
+    if (host.polled && host.more_ended && host.poll_failures == 0) return true;
+    return (!host.polled || host.more_ended) && (host.listed || host.journaled) && now < over;
   });
   if (open) return;
   recovering = false;
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -198,6 +198,8 @@
   // open poll.
   std::uint64_t acknowledged_end = 0;
   std::uint64_t polled_acknowledged_end = 0;
+  // The last answer did not list all ends, so a run that it does not mention may have ended.
+  bool more_ended = false;
   // The last poll acknowledged nothing, since the host may have restarted.
   bool acknowledgement_withheld = false;
   // Latest lease expiry sent to the host, on its clock.
--- a/packages/cell/tests/recovery_test.cc
+++ b/packages/cell/tests/recovery_test.cc
@@ -326,5 +326,24 @@
   CHECK(cell.violations.empty());
 }
 
+// Guards against tasks that run again because the list of ends that their host sends is full while
+// the journal is away.
+TEST_CASE("A run whose end is not listed yet is not taken for lost") {
+  simulated_cell cell;
+  cell.AddQueue("q");
+  cell.AddHost("h0", resources{8000, 64'000, 0, 0}).max_listed_ends = 5;
+  cell.StartFirstOwner();
+  cell.Submit(1, "q", OneStep(40, 500, milliseconds(400)));
+  REQUIRE(cell.RunUntil([&] { return cell.Running(1) == 16; }, seconds(1)));
+  cell.journal_available = false;
+  cell.Run(seconds(3));
+  cell.journal_available = true;
+  SECTION("under the same owner") {}
+  SECTION("under the next one") { cell.ReplaceOwner(); }
+  CHECK(cell.RunUntil([&] { return cell.Phase(1) == job_phase::kCompleted; }, seconds(15)));
+  for (const auto& [task, history] : cell.tasks) CHECK(history.starts == 1);
+  CHECK(cell.violations.empty());
+}
+
 }  // namespace
 }  // namespace sycamorehinge::cell::testing
--- a/packages/cell/tests/simulated_cell.cc
+++ b/packages/cell/tests/simulated_cell.cc
@@ -447,7 +447,9 @@
   host_report seen;
   seen.clock_ms = ClockOf(host);
   seen.started_ms = host.entry.started_ms;
+  seen.more_ended = host.ended.size() >= host.max_listed_ends;
   seen.ended = host.ended;
+  if (seen.more_ended) seen.ended.resize(host.max_listed_ends);
   for (const auto& [key, run] : host.running) {
     run_report report{key.first, key.second, {}, 0, 0};
     const duration total = std::max<duration>(run.ends - run.started, milliseconds(1));
--- a/packages/cell/tests/simulated_cell.h
+++ b/packages/cell/tests/simulated_cell.h
@@ -63,6 +63,8 @@
   // If not zero, starts take effect after this delay and are not answered.
   duration start_delay{};
   std::uint32_t starts = 0;
+  // Ends that one answer lists at most.
+  std::size_t max_listed_ends = 500;
 };
 
 // Events of one task over all hosts.
