control: a process that the store turns away gets the configuration from the owner

Cause: such a process judged by the last configuration that it had read, so a withdrawn key stayed valid there for as long as the store turned it away.

Change: while its reads fail it asks the owner every 0.5 s for a newer configuration (config_call). The owner answers only if its own reads succeed. Versions only rise, whatever the source. Calls between processes have version 4.

Nothing is sent while reads succeed.

--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -240,8 +240,8 @@
   }
 }
 
-// A host refused a run number, since an earlier owner used a higher one. Skips twice as many numbers
-// each time, so that few starts are refused.
+// A host refused a run number, since an earlier owner used a higher one. Skips twice as many
+// numbers each time, so that few starts are refused.
 void scheduler::state::SkipRunNumbers(const task_ref& ref) {
   step_state* step = FindStep(ref);
   if (!step || ref.index >= step->tasks.size()) return;
--- a/packages/control/include/sycamorehinge/control/calls.h
+++ b/packages/control/include/sycamorehinge/control/calls.h
@@ -82,8 +82,14 @@
   // Epoch of the sender.
   std::uint64_t epoch = 0;
 };
+// Sent to the owner by a process that cannot read the configuration: asks for the one in force if
+// it is newer than this version, 0 if the sender has none.
+struct config_call {
+  std::uint64_t version = 0;
+};
 // Calls between processes.
-using peer_call = std::variant<routed_call, advice_call, offer_call, announce_call, fence_call>;
+using peer_call =
+    std::variant<routed_call, advice_call, offer_call, announce_call, fence_call, config_call>;
 
 // Owner of the cell. A higher epoch is newer.
 struct owner_info {
@@ -108,6 +114,9 @@
   // With kNotOwner: epoch under which the answering process owns the cell, other than the one that
   // the call named; 0 if it does not own it.
   std::uint64_t acting_epoch = 0;
+  // To a config_call: text of the configuration in force, as the store has it. Empty if it is not
+  // newer than that of the sender.
+  std::string config;
 };
 
 // Returns an answer with only an error code and a retry hint.
--- a/packages/control/include/sycamorehinge/control/control_node.h
+++ b/packages/control/include/sycamorehinge/control/control_node.h
@@ -27,6 +27,8 @@
   duration stream_max_wait = std::chrono::milliseconds(2000);
   // Interval between the announcements of a process to the owner of the cell.
   duration announce_interval = std::chrono::milliseconds(1500);
+  // Interval at which a process that cannot read the configuration asks the owner for it.
+  duration config_fetch_interval = std::chrono::milliseconds(500);
   // A tick later than this means that the process was paused: it starts no task until the group has
   // confirmed its ownership.
   duration max_tick_delay = std::chrono::milliseconds(700);
--- a/packages/control/src/codec.cc
+++ b/packages/control/src/codec.cc
@@ -110,6 +110,10 @@
   SerializeFields(archive, value.epoch);
 }
 template <class Archive>
+void serialize(Archive& archive, config_call& value) {
+  SerializeFields(archive, value.version);
+}
+template <class Archive>
 void serialize(Archive& archive, owner_info& value) {
   SerializeFields(archive, value.epoch, value.address);
 }
@@ -120,7 +124,7 @@
 template <class Archive>
 void serialize(Archive& archive, peer_answer& value) {
   SerializeFields(archive, value.code, value.phase, value.pending, value.retry_after,
-                  value.approved, value.owner, value.acting_epoch);
+                  value.approved, value.owner, value.acting_epoch, value.config);
 }
 
 namespace {
@@ -129,7 +133,7 @@
 constexpr std::uint8_t kRecordVersion = 1;
 // The record is followed by the tenant of the job.
 constexpr std::uint8_t kTenantRecordVersion = 2;
-constexpr std::uint8_t kCallVersion = 3;
+constexpr std::uint8_t kCallVersion = 4;
 constexpr std::size_t kMaxBytes = std::size_t{4} << 20;
 
 // What the scheduler writes can be read again.
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -16,6 +16,7 @@
 // Key of the configuration in force.
 constexpr std::string_view kConfigKey = "config";
 constexpr duration kAnnounceTimeout = std::chrono::milliseconds(1000);
+constexpr duration kConfigFetchTimeout = std::chrono::milliseconds(1000);
 // Delay after an announcement that the owner has not answered.
 constexpr duration kAnnounceRetryDelay = std::chrono::milliseconds(300);
 
@@ -119,6 +120,27 @@
                    });
   }
 
+  // A process that the store turns away asks the owner, which can read it, for the configuration in
+  // force. Otherwise it would go on to accept withdrawn keys.
+  void FetchConfigPeriodically() {
+    port.run_at(port.now() + options.config_fetch_interval, [this] { FetchConfigPeriodically(); });
+    const std::string address = router.Owner().address;
+    if (config_readable || leaving || address.empty() || address == options.self.address) return;
+    port.call_peer(address, config_call{ConfigVersion()}, kConfigFetchTimeout,
+                   [this](const result<peer_answer>& answer) {
+                     if (!answer || answer->code != errc::kOk || answer->config.empty()) return;
+                     UseConfig(answer->config, "owner");
+                   });
+  }
+  // Only an owner whose reads succeed knows that its configuration is the one in force.
+  peer_answer OnConfigCall(const config_call& call) {
+    if (!owner.Owns() || !config_readable) return ErrorAnswer(errc::kNotOwner);
+    peer_answer answer;
+    const std::lock_guard lock(mutex);
+    if (config && config->version > call.version) answer.config = config_text;
+    return answer;
+  }
+
   void OnRoutedCall(const routed_call& call, call_reply reply) {
     owner.Call(call, [this, reply = std::move(reply)](peer_answer answer) {
       answer.owner = router.Owner();
@@ -151,7 +173,8 @@
       for (const stream_record& record : records) handle(record);
     };
     handlers.on_change = handle;
-    handlers.on_availability = [this, label](bool available) {
+    handlers.on_availability = [this, stream, label](bool available) {
+      if (stream == stream_name::kConfig) config_readable = available;
       log.Write(available ? event_number::kStoreAvailable : event_number::kStoreUnavailable,
                 {{"stream", label}});
     };
@@ -162,8 +185,11 @@
   }
 
   void OnConfig(const stream_record& record) {
-    if (record.key != kConfigKey || !record.value) return;
-    std::optional<cell::fleet_config> parsed = port.parse_config(*record.value);
+    if (record.key == kConfigKey && record.value) UseConfig(*record.value, "store");
+  }
+  // Puts a configuration in force unless it is older than the present one.
+  void UseConfig(std::string_view text, std::string_view source) {
+    std::optional<cell::fleet_config> parsed = port.parse_config(text);
     if (!parsed) return log.Write(event_number::kConfigUnreadable);
     const auto next = std::make_shared<const cell::fleet_config>(std::move(*parsed));
     {
@@ -171,16 +197,25 @@
       // A late read may return an older version.
       if (config && next->version <= config->version) return;
       config = next;
+      config_text = text;
     }
-    log.Write(event_number::kConfigInForce, {{"version", next->version}});
+    log.Write(event_number::kConfigInForce, {{"version", next->version}, {"source", source}});
     owner.SetConfig(next);
   }
+  std::uint64_t ConfigVersion() const {
+    const std::lock_guard lock(mutex);
+    return config ? config->version : 0;
+  }
 
   const control_options options;
   const ports port;
   decision_log log;
   mutable std::mutex mutex;
   std::shared_ptr<const cell::fleet_config> config;
+  // Its text, for processes that cannot read it.
+  std::string config_text;
+  // The last read of the configuration succeeded.
+  std::atomic<bool> config_readable = true;
   std::atomic<bool> leaving = false;
   // The owner has answered an announcement since the last check.
   std::atomic<bool> owner_answered = false;
@@ -206,6 +241,7 @@
   p.log.Write(event_number::kMemberListed, {{"address", p.options.self.address}});
   p.group->Start();
   p.AnnouncePeriodically();
+  p.FetchConfigPeriodically();
 }
 
 void control_node::Call(cell_call call, time_point deadline, call_reply reply) {
@@ -223,7 +259,8 @@
             reply({});
           },
           [&](const announce_call& row) { reply(p.OnAnnounceCall(row)); },
-          [&](const fence_call& fence) { p.owner.OnFenceCall(fence.epoch, std::move(reply)); }},
+          [&](const fence_call& fence) { p.owner.OnFenceCall(fence.epoch, std::move(reply)); },
+          [&](const config_call& row) { reply(p.OnConfigCall(row)); }},
       call);
 }
 
--- a/packages/control/tests/codec_test.cc
+++ b/packages/control/tests/codec_test.cc
@@ -53,10 +53,14 @@
   const auto fence = DecodeCall(EncodeCall(fence_call{9}));
   REQUIRE(fence);
   CHECK(std::get<fence_call>(*fence).epoch == 9);
+  const auto wanted = DecodeCall(EncodeCall(config_call{41}));
+  REQUIRE(wanted);
+  CHECK(std::get<config_call>(*wanted).version == 41);
   peer_answer answer = ErrorAnswer(errc::kOverloaded, std::chrono::seconds(2));
   answer.approved = {{host_id{"h"}, "ticket"}};
   answer.owner = {7, "10.0.0.1:1"};
   answer.acting_epoch = 6;
+  answer.config = "{}";
   const auto read = DecodeAnswer(EncodeAnswer(answer));
   REQUIRE(read);
   CHECK(read->code == errc::kOverloaded);
@@ -64,6 +68,7 @@
   CHECK(read->approved.front().ticket == "ticket");
   CHECK(read->owner.epoch == 7);
   CHECK(read->acting_epoch == 6);
+  CHECK(read->config == "{}");
 }
 
 // Guards against a new owner that loads a state other than the previous owner wrote.
--- /dev/null
+++ b/packages/control/tests/config_test.cc
@@ -0,0 +1,58 @@
+#include <catch2/catch.hpp>
+
+#include "cluster.h"
+
+namespace sycamorehinge::control::testing {
+namespace {
+
+// Guards against an older configuration replacing a newer one, and against applying a malformed
+// one.
+TEST_CASE("Versions of the configuration only rise") {
+  cluster group(1);
+  group.store.Run(seconds(1));
+  REQUIRE(group.nodes["p0"]->Config());
+  CHECK(group.nodes["p0"]->Config()->version == 3);
+  group.store.Put(stream_name::kConfig, "config", "7");
+  group.store.Put(stream_name::kConfig, "config", "5");
+  group.store.Put(stream_name::kConfig, "config", "bad");
+  group.store.Run(seconds(2));
+  CHECK(group.nodes["p0"]->Config()->version == 7);
+}
+
+// Guards against a process that accepts withdrawn keys for as long as the store turns it away.
+TEST_CASE("A process that the store turns away follows the configuration through the owner") {
+  cluster group(3);
+  group.store.Run(seconds(3));
+  REQUIRE(group.OwnerName() == "p0");
+  group.store.cut_off["p2"] = true;
+  group.store.Run(seconds(3));
+  group.store.Put(stream_name::kConfig, "config", "7");
+  group.store.Run(seconds(5));
+  CHECK(group.nodes["p2"]->Config()->version == 7);
+  // The store again gives an older version, as a stale read would.
+  group.store.cut_off["p2"] = false;
+  group.store.Put(stream_name::kConfig, "config", "5");
+  group.store.Run(seconds(5));
+  CHECK(group.nodes["p2"]->Config()->version == 7);
+}
+
+// Guards against an owner that hands on an old configuration while it cannot read a newer one.
+TEST_CASE("Only an owner that can read the store hands on its configuration") {
+  cluster group(2);
+  group.store.Run(seconds(3));
+  const auto ask = [&](std::uint64_t version) {
+    peer_answer got;
+    group.nodes["p0"]->OnPeerCall(config_call{version}, [&](peer_answer answer) { got = answer; });
+    return got;
+  };
+  CHECK(ask(0).config == "3");
+  CHECK(ask(3).config.empty());
+  CHECK(ask(3).code == errc::kOk);
+  group.store.available = false;
+  group.store.Run(seconds(3));
+  CHECK(ask(0).code == errc::kNotOwner);
+  CHECK(ask(0).config.empty());
+}
+
+}  // namespace
+}  // namespace sycamorehinge::control::testing
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -493,20 +493,6 @@
   CHECK(code == errc::kNotReady);
 }
 
-// Guards against an older configuration replacing a newer one, and against applying a malformed
-// one.
-TEST_CASE("Versions of the configuration only rise") {
-  cluster group(1);
-  group.store.Run(seconds(1));
-  REQUIRE(group.nodes["p0"]->Config());
-  CHECK(group.nodes["p0"]->Config()->version == 3);
-  group.store.Put(stream_name::kConfig, "config", "7");
-  group.store.Put(stream_name::kConfig, "config", "5");
-  group.store.Put(stream_name::kConfig, "config", "bad");
-  group.store.Run(seconds(2));
-  CHECK(group.nodes["p0"]->Config()->version == 7);
-}
-
 // Guards against sending all requests to one machine while the service refuses its calls.
 TEST_CASE(
     "Advice requests go to the machine with the earliest expected answer, within its limits") {
