--- a/packages/control/src/call_router.cc
+++ b/packages/control/src/call_router.cc
@@ -3,10 +3,17 @@
 #include <algorithm>
 #include <utility>
 
+#include "return_time.h"
+
 namespace sycamorehinge::control {
 
 namespace {
 
+// Weight of an answer in the moving average of the time until one arrives.
+constexpr int kAnswerTimeParts = 8;
+// A call is not refused for lack of time while it has more time left than this.
+constexpr duration kMaxShortTime = std::chrono::milliseconds(200);
+
 bool IsRead(const cell_call& call) {
   return std::holds_alternative<job_state_call>(call) ||
          std::holds_alternative<pending_jobs_call>(call);
@@ -53,6 +60,11 @@
     open.deadline = deadline;
     open.reply = std::move(reply);
     if (state.closed) return GiveUp(state, id, out);
+    // An attempt would only make the outcome unknown.
+    const duration needed = std::min(state.answer_time, kMaxShortTime);
+    if (deadline - now < needed && !IsRead(*open.call)) {
+      return Refuse(state, id, errc::kNotReady, out);
+    }
     state.deadlines.emplace(deadline, id);
     ScheduleDeadline(state, out);
     SendAttempt(state, id, out);
@@ -103,6 +115,9 @@
     open.in_flight = false;
     const bool asked_owner = open.target.address == state.owner.address;
     if (asked_owner && outcome) NoteOwnerAnswer(state, out);
+    if (outcome && outcome->code == errc::kOk && !IsRead(*open.call)) {
+      state.answer_time += (now - open.sent_at - state.answer_time) / kAnswerTimeParts;
+    }
     // An owner that answers other messages is slow, not gone: some calls wait for the store.
     if (asked_owner && !outcome && state.owner_answered_at < open.sent_at) {
       SetOwnerSilent(state, true, out);
@@ -122,8 +137,10 @@
       return SendAttemptTo(state, id, {outcome->acting_epoch, open.target.address}, out);
     }
     if (learned) return SendAttempt(state, id, out);
-    if (!open.may_have_effect && !IsRead(*open.call) &&
-        now - open.arrived > options_.unsent_hold_limit) {
+    // Without the store nobody can become the owner, but a peer may know one.
+    const duration limit =
+        state.store_available ? options_.unsent_hold_limit : options_.storeless_hold_limit;
+    if (!open.may_have_effect && !IsRead(*open.call) && now - open.arrived > limit) {
       return Refuse(state, id, errc::kNotReady, out);
     }
     // The supposed owner may have lost the cell, and without a connection to the store it knows no
@@ -211,6 +228,9 @@
 
 void call_router::Finish(routing_state& state, std::uint64_t id, peer_answer answer, effects& out) {
   const auto found = state.calls.find(id);
+  if (answer.code == errc::kLogUnavailable || answer.code == errc::kNotReady) {
+    answer.retry_after = ReturnTime(answer.retry_after, found->second.deadline - port_.now(), id);
+  }
   out.push_back(
       [reply = std::move(found->second.reply), answer = std::move(answer)] { reply(answer); });
   state.deadlines.erase({found->second.deadline, id});
@@ -243,6 +263,10 @@
   Update([&](routing_state& state, effects& out) { UpdateOwner(state, owner, out); });
 }
 
+void call_router::SetStoreAvailable(bool available) {
+  Update([&](routing_state& state, effects&) { state.store_available = available; });
+}
+
 void call_router::OnOwnerAnswer(std::string_view address) {
   Update([&](routing_state& state, effects& out) {
     if (state.owner.address == address) NoteOwnerAnswer(state, out);
--- a/packages/control/src/call_router.h
+++ b/packages/control/src/call_router.h
@@ -33,6 +33,8 @@
   duration max_call_time = std::chrono::seconds(30);
   // A call that reached no owner is refused with kNotReady after this long.
   duration unsent_hold_limit = std::chrono::milliseconds(2000);
+  // The same while the store does not answer this process: time to ask some peers for the owner.
+  duration storeless_hold_limit = std::chrono::milliseconds(300);
   // Retry hint for refused callers.
   duration retry_after = std::chrono::milliseconds(1000);
   // After failures for this long without an answer, Reachable() is false.
@@ -61,6 +63,8 @@
   void LearnOwner(const owner_info& owner);
   // Reports that the process at the address has answered a message other than a call.
   void OnOwnerAnswer(std::string_view address);
+  // Reports whether the store answers this process.
+  void SetStoreAvailable(bool available);
   // Newest owner that this process knows, whether it answers or not. The epoch is 0 if none is
   // known.
   owner_info Owner() const;
@@ -99,6 +103,9 @@
     // The owner has answered no message since the last unanswered call was sent. Calls ask the
     // peers for a newer one meanwhile, since an attempt that may reach the owner cannot be refused.
     bool owner_silent = false;
+    bool store_available = true;
+    // Average time until the owner has answered a submission or cancellation.
+    duration answer_time{};
     std::vector<std::string> peers;
     std::size_t next_peer = 0;
     std::map<std::uint64_t, open_call> calls;
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -407,6 +407,7 @@
 void cell_owner::StepDown(state& s, std::uint64_t epoch, std::string_view cause, effects& out) {
   if (s.epoch != epoch || s.current_phase == phase::kIdle) return;
   log_.Write(event_number::kCellLost, {{"epoch", epoch}, {"cause", cause}});
+  if (s.HasBegun()) ReleaseUnsentSubmissions(s, out);
   s.current_phase = phase::kIdle;
   s.stepped_down_at = port_.now();
   if (s.journal) s.journal->Stop();
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -149,6 +149,7 @@
   static void SendAnswer(state& s, const cell::answer_call& answer, effects& out);
   void EndUnconfirmedReads(state& s, effects& out);
   void RefuseInOutage(state& s, time_point now);
+  void ReleaseUnsentSubmissions(state& s, effects& out);
   static void CountAction(const cell::action& action, call_counts& sent);
   void Execute(const effect& item);
 
--- a/packages/control/src/cell_owner_calls.cc
+++ b/packages/control/src/cell_owner_calls.cc
@@ -103,6 +103,25 @@
   s.scheduler->RefuseSubmissions(withdrawn, RetryAfterOutage(outage), now);
 }
 
+// Ends the calls of submissions of which nothing was sent to the store. This owner steps down, so
+// the next one can take them.
+void cell_owner::ReleaseUnsentSubmissions(state& s, effects& out) {
+  const std::vector<std::uint64_t> unsent = s.journal->Withdraw(s.scheduler->OpenSubmissions());
+  s.scheduler->RefuseSubmissions(unsent, {}, port_.now());
+  std::vector<cell::action> actions;
+  s.scheduler->TakeActions(actions);
+  for (const cell::action& next : actions) {
+    const auto* answer = std::get_if<cell::answer_call>(&next);
+    const bool released = answer && answer->code == errc::kLogUnavailable;
+    const auto found = released ? s.open_calls.find(answer->call) : s.open_calls.end();
+    if (found == s.open_calls.end()) continue;
+    out.push_back({s.epoch, std::nullopt, [reply = std::move(found->second.reply)] {
+                     reply(ErrorAnswer(errc::kNotOwner));
+                   }});
+    s.open_calls.erase(found);
+  }
+}
+
 // Returns the time at which this process must have owned the cell for the answer to be true. An
 // owner that was replaced without knowing it does not know which jobs the next one has accepted.
 time_point cell_owner::NeededConfirmation(const open_call& call, errc code) {
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -175,6 +175,7 @@
     handlers.on_change = handle;
     handlers.on_availability = [this, stream, label](bool available) {
       if (stream == stream_name::kConfig) config_readable = available;
+      if (stream == stream_name::kDirectory) router.SetStoreAvailable(available);
       log.Write(available ? event_number::kStoreAvailable : event_number::kStoreUnavailable,
                 {{"stream", label}});
     };
