core, cell: one function scales durations. No functional change

Cause: four places scaled a duration by a factor, each in its own way, and ExtraTime repeated the loss that DecideLocality computed. wait_for_room::at_most was read by nothing.

Change: ScaleTime in core/types.h; locality_request has the loss itself; the field is gone.

--- a/packages/cell/include/sycamorehinge/cell/locality.h
+++ b/packages/cell/include/sycamorehinge/cell/locality.h
@@ -12,10 +12,8 @@
 namespace sycamorehinge::cell {
 
 struct locality_request {
-  // Estimated run time near the data or in one rack.
-  duration run_time{};
-  // Run time elsewhere, as a multiple of `run_time`.
-  double far_factor = 1;
+  // How much longer the step runs elsewhere.
+  duration loss{};
   // Time until enough room is expected there; duration::max() if none is.
   duration expected_wait{};
   // Time for which the step has waited for such room, and how long it was expected to wait when it
@@ -25,10 +23,7 @@
 };
 
 struct start_now {};
-// The decision holds for `at_most` unless room appears earlier.
-struct wait_for_room {
-  duration at_most{};
-};
+struct wait_for_room {};
 using locality_decision = std::variant<start_now, wait_for_room>;
 
 locality_decision DecideLocality(const locality_request& request);
--- a/packages/cell/src/admission.cc
+++ b/packages/cell/src/admission.cc
@@ -18,11 +18,6 @@
 constexpr duration kMaxReturn = std::chrono::seconds(5);
 constexpr double kMinStartsPerSecond = 1;
 
-duration Scale(duration time, double factor) {
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double, std::micro>(static_cast<double>(time.count()) * factor));
-}
-
 }  // namespace
 
 duration ExpectedWait(const queue_load& load) {
@@ -30,7 +25,7 @@
 }
 
 admission_decision DecideAdmission(const admission_request& request, const queue_load& load) {
-  const duration limit = Scale(request.target, request.over_rate ? kInTimeOverRate : kInTime);
+  const duration limit = ScaleTime(request.target, request.over_rate ? kInTimeOverRate : kInTime);
   const duration wait = ExpectedWait(load);
   const duration excess = wait + request.run_time - limit;
   // A job that is too long for its target by itself gains nothing from a later submission.
@@ -42,7 +37,7 @@
                                      time_point now) {
   const double rate = std::max(load.starts_per_second, kMinStartsPerSecond);
   const duration earliest = std::clamp(decision.excess, kMinReturn, kMaxReturn / 2);
-  next_ = std::max(next_ + Scale(std::chrono::seconds(1), 1 / rate), now + earliest);
+  next_ = std::max(next_ + ScaleTime(std::chrono::seconds(1), 1 / rate), now + earliest);
   // The schedule is full: the next callers share its times.
   if (next_ > now + kMaxReturn) next_ = now + earliest;
   return next_ - now;
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -1,6 +1,5 @@
 // Jobs: submission, activation, ready steps, completion and queries.
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "state.h"
@@ -85,9 +84,7 @@
 // latency target of the queue.
 duration TargetOf(std::span<const duration> chains, const queue_settings& queue) {
   const duration longest = *std::max_element(chains.begin(), chains.end());
-  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(longest) *
-                                              queue.stretch) +
-         queue.latency_target;
+  return ScaleTime(longest, queue.stretch) + queue.latency_target;
 }
 
 }  // namespace
--- a/packages/cell/src/near_room.cc
+++ b/packages/cell/src/near_room.cc
@@ -70,8 +70,7 @@
 
 // Returns how much longer a task of the step runs away from its data or its group.
 duration scheduler::state::ExtraTime(const step_spec& spec) const {
-  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(spec.run_time) *
-                                              std::max(options.far_factor - 1, 0.0));
+  return ScaleTime(spec.run_time, std::max(options.far_factor - 1, 0.0));
 }
 
 // Returns whether the step should wait for room that is expected at `at`, where it runs faster.
@@ -79,8 +78,7 @@
   // A step that is late for its target waits no longer.
   if (now > step.latest_start) return false;
   locality_request request;
-  request.run_time = wanted.spec->run_time;
-  request.far_factor = options.far_factor;
+  request.loss = ExtraTime(*wanted.spec);
   request.expected_wait = at == time_point::max() ? duration::max() : at - now;
   if (step.near_wait_since == time_point()) {
     request.first_expected_wait = request.expected_wait;
--- a/packages/cell/tests/locality_test.cc
+++ b/packages/cell/tests/locality_test.cc
@@ -50,19 +50,19 @@
 // Guards against waits that cost more than they gain, and against starts elsewhere that cost more
 // than a short wait.
 TEST_CASE("A wait pays while it is shorter than the time lost elsewhere") {
-  locality_request request{seconds(4), 2, milliseconds(3900), {}, milliseconds(3900)};
+  locality_request request{seconds(4), milliseconds(3900), {}, milliseconds(3900)};
   CHECK(Waits(request));
   request.expected_wait = seconds(4);
   CHECK_FALSE(Waits(request));
   request.expected_wait = duration::max();
   CHECK_FALSE(Waits(request));
-  request = {seconds(4), 1, duration(), {}, {}};
+  request = {duration(), duration(), {}, {}};
   CHECK_FALSE(Waits(request));
 }
 
 // Guards against a step that waits for ever for room that is always about to appear.
 TEST_CASE("A wrong expectation costs at most half of the time lost elsewhere") {
-  locality_request request{seconds(4), 2, milliseconds(500), seconds(2), milliseconds(500)};
+  locality_request request{seconds(4), milliseconds(500), seconds(2), milliseconds(500)};
   CHECK(Waits(request));
   request.waited = milliseconds(2500);
   CHECK_FALSE(Waits(request));
--- a/packages/core/include/sycamorehinge/core/types.h
+++ b/packages/core/include/sycamorehinge/core/types.h
@@ -15,6 +15,11 @@
 using duration = std::chrono::microseconds;
 using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
 
+inline duration ScaleTime(duration time, double factor) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, duration::period>(static_cast<double>(time.count()) * factor));
+}
+
 // Combines several lambdas into one visitor for std::visit.
 template <class... Ts>
 struct overloaded : Ts... {
