cell: placement learns the speed of hosts

Cause: hosts run at 0.8 to 1.25 times the usual speed, or become much slower while their health is good, and placement treated all alike. A gang held fast hosts at the pace of its slowest member.

Change: the owner learns the speed of each host from the progress of its tasks beside others of the same step (host_speed.h). Gangs take the fastest class of hosts that fits them, tasks that would miss their target on a slow host prefer fast ones, and hosts at two thirds of the usual speed or less get work only if no others have room. Within an eighth of the usual speed placement is as before.

--- a/packages/cell/src/advice.cc
+++ b/packages/cell/src/advice.cc
@@ -29,9 +29,10 @@
 constexpr double kApprovalWeight = 0.1;
 constexpr double kMinApprovalRate = 0.05;
 
-// Hosts with more free capacity are asked about first.
+// Hosts with more free capacity are asked about first, of equal ones the faster.
 bool IsAskedLater(const unknown_host& a, const unknown_host& b) {
-  return std::tie(a.copies, a.free, b.slot) < std::tie(b.copies, b.free, a.slot);
+  return std::tie(a.copies, a.speed_class, a.free, b.slot) <
+         std::tie(b.copies, b.speed_class, b.free, a.slot);
 }
 
 }  // namespace
@@ -134,7 +135,8 @@
       outlook.fit_when_empty += copies_when_empty;
     } else {
       outlook.fit_on_unknown += rate * copies;
-      outlook.unknown.push_back({copies, host.Free().cores_milli, slot, copies_when_empty});
+      outlook.unknown.push_back(
+          {copies, host.speed_class, host.Free().cores_milli, slot, copies_when_empty});
     }
   }
   return outlook;
--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -88,6 +88,7 @@
   // call.
   host.lease_expires = now + options.max_lease;
   host.consecutive_failures = 0;
+  host.speed = {};
   const std::vector<run_id> held = host.runs;
   for (const run_id id : held) {
     if (runs.at(id).confirmed) {
@@ -256,6 +257,7 @@
     run_state& run = runs.at(id);
     if (run.phase == run_phase::kStarting || run.phase == run_phase::kUncertain) ConfirmRun(id);
     run.confirmed = true;
+    SamplePace(id, report.percent);
     if (report.percent != run.percent) run.last_progress = now;
     run.percent = report.percent;
     run.checkpoint = report.checkpoint;
@@ -282,6 +284,8 @@
   const step_spec& spec = SpecOf(*job, report.task.step);
   const run_id id = OpenRun(report.task, *job, slot, report.run, run_phase::kRunning);
   ConfirmRun(id);
+  runs.at(id).sampled_at = now;
+  runs.at(id).sampled_percent = report.percent;
   if (only) {
     task.active_run = id;
     ++step->active_runs;
--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -52,9 +52,11 @@
   return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-void scheduler::state::UpdateMaxFree() {
+// Computes what a pass needs to know of the hosts.
+void scheduler::state::UpdateHosts() {
   max_free = {};
-  for (const host_state& host : hosts) {
+  for (host_state& host : hosts) {
+    host.speed_class = host.speed.Class(now);
     if (!IsUsable(host)) continue;
     const resources free = host.Free();
     max_free.cores_milli = std::max(max_free.cores_milli, free.cores_milli);
@@ -74,7 +76,7 @@
   pass_needed = false;
   next_pass =
       now + kMinPassInterval + kPassIntervalPerStep * static_cast<std::int64_t>(waiting.size());
-  UpdateMaxFree();
+  UpdateHosts();
   UpdateHeadroom();
   UpdateTenants();
   struct candidate {
@@ -266,18 +268,29 @@
   return verdict.approved && now + options.ticket_margin < verdict.valid_until;
 }
 
-// Returns the best host for the task, or kNoHost: prefers hosts without relevant failures, then the
-// rack of the data, then the fewest free cores (best fit).
+// Hosts with a lower rank are preferred. All on which the step can meet its target are alike, and
+// come before the others, of which the fastest come first.
+int scheduler::state::SpeedRank(const demand& wanted, const host_state& host) const {
+  constexpr int kLateRank = 100;
+  if (host.speed_class >= 0 && now <= wanted.step->latest_start) return 0;
+  const duration extra = ScaleTime(wanted.spec->run_time, 1 / host.speed.Value(now) - 1);
+  return now + extra <= wanted.step->latest_start ? 0 : kLateRank - host.speed_class;
+}
+
+// Returns the best host for the task, or kNoHost: prefers hosts without relevant failures that are
+// not slow, then the rack of the data, then a suitable speed, then the fewest free cores (best
+// fit).
 host_slot scheduler::state::BestHost(const demand& wanted, const task_state& task) const {
   host_slot best = kNoHost;
-  std::tuple<bool, bool, std::int64_t> best_score;
+  std::tuple<bool, bool, int, std::int64_t> best_score;
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
     if (wanted.NeedsAdvice() && !TicketHolds(*wanted.step, slot)) continue;
     if (FitCount(wanted, slot, false) == 0) continue;
     const host_state& host = hosts[slot];
-    const bool suspect =
-        FailedOn(task, slot) || (!task.failed_runs.empty() && host.consecutive_failures > 0);
-    const std::tuple score{suspect, IsFar(wanted, slot), host.Free().cores_milli};
+    const bool suspect = FailedOn(task, slot) || host.speed_class <= kSlowClass ||
+                         (!task.failed_runs.empty() && host.consecutive_failures > 0);
+    const std::tuple score{suspect, IsFar(wanted, slot), SpeedRank(wanted, host),
+                           host.Free().cores_milli};
     if (best != kNoHost && score >= best_score) continue;
     best = slot;
     best_score = score;
@@ -335,36 +348,43 @@
 }
 
 // Chooses hosts and task counts for all members of a gang; empty if they do not fit. Prefers hosts
-// without recent failures, then those with the fewest cores left over. If the gang requests one
-// rack, or names that of its data, a rack that fits all members is tried first.
+// without recent failures that are not slow, then those with the fewest cores left over. A gang
+// runs at the pace of its slowest member, so the fastest hosts that fit all members are chosen, and
+// of these the slower ones first. If the gang requests one rack, or names that of its data, a rack
+// that fits all members is tried first.
 std::vector<std::pair<host_slot, std::uint32_t>> scheduler::state::ChooseGangHosts(
     const demand& wanted, bool need_ticket) const {
   const step_state& step = *wanted.step;
   struct candidate {
     bool suspect;
+    int speed_class;
     std::int64_t left;
     host_slot slot;
     std::uint32_t copies;
   };
   std::vector<candidate> candidates;
+  std::set<int> classes;
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
     if (wanted.NeedsAdvice() && need_ticket && !TicketHolds(step, slot)) continue;
     if (wanted.NeedsAdvice() && !IsApproved(step, slot)) continue;
     const std::uint32_t copies = FitCount(wanted, slot, true);
     if (copies == 0) continue;
     const host_state& host = hosts[slot];
-    candidates.push_back({host.consecutive_failures > 0,
-                          host.Free().cores_milli - copies * wanted.task_size.cores_milli, slot,
-                          copies});
+    candidates.push_back(
+        {host.consecutive_failures > 0 || host.speed_class <= kSlowClass, host.speed_class,
+         host.Free().cores_milli - copies * wanted.task_size.cores_milli, slot, copies});
+    classes.insert(host.speed_class);
   }
   std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-    return std::tie(a.suspect, a.left, a.slot) < std::tie(b.suspect, b.left, b.slot);
+    return std::tie(a.suspect, a.speed_class, a.left, a.slot) <
+           std::tie(b.suspect, b.speed_class, b.left, b.slot);
   });
-  const auto choose = [&](const rack_id* rack) {
+  const auto choose = [&](const rack_id* rack, int slowest) {
     std::vector<std::pair<host_slot, std::uint32_t>> chosen;
     auto missing = static_cast<std::uint32_t>(step.tasks.size());
     for (const candidate& next : candidates) {
       if (missing == 0) break;
+      if (next.speed_class < slowest) continue;
       if (rack && hosts[next.slot].entry.rack != *rack) continue;
       const std::uint32_t take = std::min(next.copies, missing);
       chosen.emplace_back(next.slot, take);
@@ -379,10 +399,13 @@
       if (!IsFar(wanted, next.slot)) racks.insert(hosts[next.slot].entry.rack);
     }
     for (const rack_id& rack : racks) {
-      if (auto chosen = choose(&rack); !chosen.empty()) return chosen;
+      if (auto chosen = choose(&rack, *classes.begin()); !chosen.empty()) return chosen;
     }
   }
-  return choose(nullptr);
+  for (auto slowest = classes.rbegin(); slowest != classes.rend(); ++slowest) {
+    if (auto chosen = choose(nullptr, *slowest); !chosen.empty()) return chosen;
+  }
+  return {};
 }
 
 void scheduler::state::PlaceGang(const task_ref& ref, job_entry& job, step_state& step) {
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -14,6 +14,8 @@
 constexpr duration kStartRetryDelay = std::chrono::milliseconds(100);
 // Run numbers that are skipped at a time after a host refused one.
 constexpr std::uint32_t kMaxSkippedRuns = 1U << 16U;
+// The progress of a run is compared with that of others over at least this time.
+constexpr duration kMinPaceTime = std::chrono::milliseconds(400);
 // Time for which a host that refused a start is avoided.
 constexpr duration kRefusedAvoidTime = std::chrono::milliseconds(1000);
 constexpr duration kNoRoomAvoidTime = std::chrono::milliseconds(300);
@@ -334,6 +336,7 @@
   if (id != kNoRun) runs.at(id).checkpoint.clear();
   bool attempts_exhausted = false;
   if (done || failed) MarkDirty(end.task.job, job);
+  if (done && id != kNoRun) SamplePace(id, 100);
   if (done) MarkDone(end.task, spec, step);
   if (failed) {
     attempts_exhausted = RecordTaskFailure(slot, end, job, step);
@@ -389,6 +392,33 @@
   }
 }
 
+// Compares the progress of the run since the last sample with that of the other tasks of its step.
+// Members of a gang proceed together, whatever the speed of their hosts.
+void scheduler::state::SamplePace(run_id id, std::uint32_t percent) {
+  run_state& run = runs.at(id);
+  job_entry* job = FindJob(run.task.job);
+  step_state* step = FindStep(run.task);
+  if (!job || job->spec.steps.empty() || !step) return;
+  const step_spec& spec = SpecOf(*job, run.task.step);
+  if (spec.gang || spec.long_running || spec.fills) return;
+  if (run.sampled_at == time_point()) {
+    // The progress of a resumed run includes that of earlier runs.
+    const bool resumed = !run.checkpoint.empty();
+    run.sampled_at = resumed ? now : run.started;
+    run.sampled_percent = resumed ? percent : 0;
+  }
+  const duration time = now - run.sampled_at;
+  if (percent < run.sampled_percent || (percent < 100 && time < kMinPaceTime)) return;
+  const task_pace own{static_cast<double>(percent - run.sampled_percent), time};
+  task_pace others = step->pace;
+  others -= run.pace;
+  hosts[run.host].speed.Add(own, others, now);
+  run.pace += own;
+  step->pace += own;
+  run.sampled_at = now;
+  run.sampled_percent = percent;
+}
+
 void scheduler::state::CheckStall(run_id id) {
   const run_state& run = runs.at(id);
   if (run.phase != run_phase::kRunning || run.percent >= 100) return;
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -17,6 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "host_speed.h"
 #include "sycamorehinge/cell/admission.h"
 #include "sycamorehinge/cell/locality.h"
 #include "sycamorehinge/cell/scheduler.h"
@@ -69,6 +70,10 @@
   // Reported progress in percent.
   std::uint32_t percent = 0;
   time_point last_progress;
+  // Progress that counts in the pace of the step, and its state at the last sample.
+  task_pace pace;
+  std::uint32_t sampled_percent = 0;
+  time_point sampled_at;
   std::string checkpoint;
   std::string ticket;
   std::uint32_t start_attempts = 0;
@@ -109,6 +114,8 @@
   std::vector<task_state> tasks;
   std::uint32_t tasks_done = 0;
   std::uint32_t active_runs = 0;
+  // Progress of all its runs together.
+  task_pace pace;
   bool waiting = false;
   time_point ready_since;
   // A job whose step starts later is not expected to complete within the target of its queue.
@@ -228,6 +235,9 @@
   time_point avoid_until;
   std::uint32_t consecutive_failures = 0;
   job_number last_failed_job = 0;
+  host_speed speed;
+  // Class of the speed at the start of the last pass.
+  int speed_class = 0;
   // Step of the gang that the host is reserved for. Only steps of a more urgent queue than
   // `reserved_priority` may use it meanwhile.
   const step_state* reserved_for = nullptr;
@@ -324,6 +334,7 @@
 struct unknown_host {
   // Tasks of the step that fit there now, and on the empty host.
   std::uint32_t copies = 0;
+  int speed_class = 0;
   std::int64_t free = 0;
   host_slot slot = kNoHost;
   std::uint32_t copies_when_empty = 0;
@@ -462,6 +473,7 @@
   void ResolveUncertain(run_id id, time_point poll_sent);
   void TickRuns();
   void CheckStall(run_id id);
+  void SamplePace(run_id id, std::uint32_t percent);
   void ConfirmRun(run_id id);
   void MarkUncertain(run_id id);
   void StartUnanswered(run_id id);
@@ -491,7 +503,8 @@
   // --- placement (placement.cc) ---
   void Pass();
   std::vector<std::size_t> ConsideredSteps(std::size_t count);
-  void UpdateMaxFree();
+  void UpdateHosts();
+  int SpeedRank(const demand& wanted, const host_state& host) const;
   void LogWait(const task_ref& ref, job_entry& job, step_state& step);
   std::string WaitReason(const task_ref& ref, job_entry& job, const step_state& step) const;
   void TryPlace(const waiting_key& key);
--- a/packages/cell/tests/simulated_cell.cc
+++ b/packages/cell/tests/simulated_cell.cc
@@ -29,6 +29,10 @@
       record);
 }
 
+duration AtSpeed(duration work, double speed) {
+  return std::chrono::duration_cast<duration>(work / speed);
+}
+
 bool Removes(const journal_record& record) {
   return std::holds_alternative<remove_accepted_job>(record) ||
          std::holds_alternative<remove_job>(record) ||
@@ -547,7 +551,9 @@
   fake_run run;
   run.token = start.token;
   run.started = now;
-  run.ends = now + run_time(start.task, spec->run_time);
+  run.work = run_time(start.task, spec->run_time);
+  run.speed = host.speed;
+  run.ends = now + AtSpeed(run.work, run.speed);
   run.kind = host.fails_all_tasks ? end_kind::kFailed : outcome(start.task, start.run);
   run.size = spec->size;
   if (spec->fills) run.size.cores_milli = 0;
@@ -573,7 +579,12 @@
     }
   }
   if (present.size() < members) return;
-  for (fake_run* run : present) run->complete = true;
+  double slowest = present.front()->speed;
+  for (const fake_run* run : present) slowest = std::min(slowest, run->speed);
+  for (fake_run* run : present) {
+    run->complete = true;
+    run->ends = run->started + AtSpeed(run->work, slowest);
+  }
 }
 
 void simulated_cell::Start(const start_task& start) {
--- a/packages/cell/tests/simulated_cell.h
+++ b/packages/cell/tests/simulated_cell.h
@@ -29,6 +29,9 @@
   bool stopping = false;
   // All members of the gang run; always true for other tasks.
   bool complete = true;
+  // Run time at the usual speed, and the speed of the host.
+  duration work{};
+  double speed = 1;
 };
 
 struct fake_host {
@@ -63,6 +66,8 @@
   // If not zero, starts take effect after this delay and are not answered.
   duration start_delay{};
   std::uint32_t starts = 0;
+  // Tasks started from now on run this much faster. A gang runs at the pace of its slowest member.
+  double speed = 1;
   // Ends that one answer lists at most.
   std::size_t max_listed_ends = 500;
 };
