cell: runs that would be lost with a leaving host start elsewhere at once

Cause: a draining host kept its runs until it went away, also those that could not end in time. Their work was lost, and their tasks waited for the lease of the host, 5.2 s.

Change: DecideEvacuation compares the expected end of a run with the time that the host says it stays. Runs that would be lost are stopped, gangs as a whole, and start elsewhere. The expected end of a run is computed from its progress at the time of the report; it moved away between two reports before.

A host that does not tell for how long it stays keeps its runs.

--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "state.h"
+#include "sycamorehinge/cell/evacuation.h"
 
 namespace sycamorehinge::cell {
 
@@ -34,6 +35,7 @@
   host.listed = true;
   host.entry = entry;
   if (started_ms != 0) host.entry.started_ms = started_ms;
+  UpdateLeaveTime(host);
   // The list may be older than the last poll, also with a later time: clocks are set back. Only a
   // poll tells whether the host has restarted.
   host.restart_listed = entry.started_ms > host.entry.started_ms;
@@ -126,6 +128,7 @@
 void scheduler::state::TickHost(host_slot slot) {
   if (!owner) return;
   CloseExpiredRuns(slot);
+  EvacuateLeaving(slot);
   host_state& host = hosts[slot];
   if (!host.listed && host.polled && host.runs.empty() && host.orphan_runs == 0)
     RemoveHostRecord(host);
@@ -328,6 +331,37 @@
   LogDecision(decision_kind::kHostAvoided, {}, 0, host.entry.id.value, cause, time);
 }
 
+// The list tells how long a draining host stays from the time at which the host wrote its entry.
+// The earliest time counts, since the same entry may be read again later.
+void scheduler::state::UpdateLeaveTime(host_state& host) const {
+  if (!host.entry.draining) {
+    host.leaves_at = time_point::max();
+  } else if (host.entry.remaining > duration::zero()) {
+    host.leaves_at = std::min(host.leaves_at, now + host.entry.remaining);
+  }
+}
+
+// Stops runs that would be lost with a host that is leaving, so that they start elsewhere at once.
+void scheduler::state::EvacuateLeaving(host_slot slot) {
+  const time_point leaves_at = hosts[slot].leaves_at;
+  if (leaves_at == time_point::max() || now >= leaves_at || hosts[slot].poll_failures > 0) return;
+  const std::vector<run_id> held = hosts[slot].runs;
+  for (const run_id id : held) {
+    const run_state& run = runs.at(id);
+    if (run.phase != run_phase::kRunning) continue;
+    const time_point end = ExpectedEnd(run);
+    const leaving_run leaving{end == time_point::max() ? duration::max() : end - now,
+                              leaves_at - now};
+    if (std::holds_alternative<keep_run>(DecideEvacuation(leaving))) continue;
+    const job_entry* job = FindJob(run.task.job);
+    const task_ref task = run.task;
+    SendStop(id, "its host is leaving");
+    if (job && !job->spec.steps.empty() && SpecOf(*job, task.step).gang) {
+      AbortGang(task, "the host of a member is leaving");
+    }
+  }
+}
+
 // Ends the recovery, and with it the wait of tasks that earlier owners may have started, once every
 // host has reported its runs and all ends, or its leases have expired.
 void scheduler::state::CheckRecovery() {
--- a/packages/cell/src/near_room.cc
+++ b/packages/cell/src/near_room.cc
@@ -22,7 +22,9 @@
   const step_spec& spec = SpecOf(job->second, run.task.step);
   if (spec.long_running) return time_point::max();
   const duration ran = now - run.started;
-  const duration whole = run.percent > 0 ? ran * 100 / run.percent : spec.run_time;
+  // The progress is as old as the report that told of it.
+  const duration whole =
+      run.percent > 0 ? (run.last_progress - run.started) * 100 / run.percent : spec.run_time;
   return whole > ran ? run.started + whole : now + ran / kOverdueParts;
 }
 
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -232,6 +232,9 @@
   // Time of the last call that granted a lease.
   time_point lease_sent_at;
 
+  // Earliest time at which a draining host goes away; max() if that is not known.
+  time_point leaves_at = time_point::max();
+
   time_point avoid_until;
   std::uint32_t consecutive_failures = 0;
   job_number last_failed_job = 0;
@@ -436,6 +439,8 @@
   void WriteHostRecord(host_state& host);
   void RemoveHostRecord(host_state& host);
   void AvoidHost(host_state& host, duration time, std::string_view cause);
+  void UpdateLeaveTime(host_state& host) const;
+  void EvacuateLeaving(host_slot slot);
   void CheckRecovery();
 
   // --- leases (leases.cc) ---
