cell, control, entry: metrics by tenant

Cause: operators could not see what a tenant holds or waits for, or whose jobs are refused.

Change: the owner gives for each of the 512 tenants that hold most its cores, quota, waiting steps and whether it is over its share. Accepted and refused jobs and waits until starts are counted by tenant, in series that are bounded already.

--- a/packages/cell/include/sycamorehinge/cell/actions.h
+++ b/packages/cell/include/sycamorehinge/cell/actions.h
@@ -157,6 +157,8 @@
   std::string cause;
   // Time that the event took or refers to, such as the run time of an ended task.
   duration elapsed{};
+  // Tenant of the job; empty if there is none, and for kinds that no metric counts by tenant.
+  std::string tenant{};
 };
 
 using action = std::variant<write_record, answer_call, poll_host, start_task, stop_task,
--- a/packages/cell/include/sycamorehinge/cell/scheduler.h
+++ b/packages/cell/include/sycamorehinge/cell/scheduler.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -107,6 +108,16 @@
   bool recovering = false;
 };
 
+// Resources that the runs of a tenant hold, its quota (0 for none), and its waiting steps.
+struct tenant_usage {
+  std::string name;
+  resources held;
+  resources quota;
+  std::uint64_t waiting_steps = 0;
+  // It held more than its share at the last placement pass.
+  bool over_share = false;
+};
+
 class scheduler {
  public:
   explicit scheduler(scheduler_options options);
@@ -194,6 +205,9 @@
   void TakeActions(std::vector<action>& out);
 
   scheduler_summary Summary() const;
+  // Returns at most this many tenants, those that hold most first; none without tenants in the
+  // configuration.
+  std::vector<tenant_usage> TenantUsage(std::size_t most) const;
 
  private:
   struct state;
--- a/packages/cell/src/jobs.cc
+++ b/packages/cell/src/jobs.cc
@@ -191,7 +191,7 @@
   if (code == errc::kOk) refusal = Admit(call, record);
   if (code == errc::kQuotaExceeded) refusal.retry_after = kQuotaRetryAfter;
   if (refusal.code != errc::kOk) {
-    LogDecision(decision_kind::kJobRefused, {number}, 0, {}, ErrorName(refusal.code));
+    LogRefusal(number, tenant, refusal.code);
     return Answer(refusal, 0);
   }
   if (SubmitCancelled(call, number, queue, tenant)) return;
--- a/packages/cell/src/journal.cc
+++ b/packages/cell/src/journal.cc
@@ -131,17 +131,26 @@
   std::erase_if(deferred_jobs, [&](const auto& entry) {
     if (!refused(entry.first)) return false;
     const auto found = jobs.find(entry.second);
+    LogRefusal(entry.second, found->second.tenant_name, errc::kLogUnavailable);
     --queued_jobs[found->second.queue];
     jobs.erase(found);
-    LogDecision(decision_kind::kJobRefused, {entry.second}, 0, {},
-                ErrorName(errc::kLogUnavailable));
     return true;
   });
 }
 
 void scheduler::state::LogDecision(decision_kind kind, const task_ref& task, std::uint32_t run,
                                    std::string_view host, std::string_view cause, duration age) {
-  actions.emplace_back(log_decision{kind, task, run, std::string(host), std::string(cause), age});
+  log_decision decision{kind, task, run, std::string(host), std::string(cause), age};
+  if (kind == decision_kind::kJobAccepted || kind == decision_kind::kTaskStarted) {
+    if (const job_entry* job = FindJob(task.job)) decision.tenant = job->tenant_name;
+  }
+  actions.emplace_back(std::move(decision));
+}
+
+void scheduler::state::LogRefusal(job_number job, std::string_view tenant, errc code) {
+  log_decision decision{decision_kind::kJobRefused, {job}, 0, {}, std::string(ErrorName(code)), {}};
+  decision.tenant = tenant;
+  actions.emplace_back(std::move(decision));
 }
 
 }  // namespace sycamorehinge::cell
--- a/packages/cell/src/quotas.cc
+++ b/packages/cell/src/quotas.cc
@@ -42,6 +42,31 @@
   UpdateUncertainUsage();
 }
 
+// Returns what tenants hold and wait for, those that hold most first.
+std::vector<tenant_usage> scheduler::state::TenantUsage(std::size_t most) const {
+  std::vector<tenant_usage> rows;
+  if (!config->HasTenants()) return rows;
+  std::vector<std::uint64_t> waiting_steps(tenants.Count());
+  for (const waiting_key& key : waiting) {
+    const auto job = jobs.find(key.job);
+    if (job != jobs.end()) ++waiting_steps[job->second.tenant];
+  }
+  std::unordered_map<std::string_view, resources> quota_of;
+  for (const tenant_settings& row : config->tenants) quota_of[row.name.value] = row.quota;
+  for (tenant_index tenant = 0; tenant < tenants.Count(); ++tenant) {
+    if (tenant == tenant_ledger::kNoTenant) continue;
+    const std::string& name = tenants.NameOf(tenant);
+    rows.push_back({name, tenants.HeldBy(tenant), quota_of[name], waiting_steps[tenant],
+                    tenants.OverShare(tenant)});
+  }
+  std::sort(rows.begin(), rows.end(), [](const tenant_usage& a, const tenant_usage& b) {
+    return std::tie(b.held.cores_milli, b.waiting_steps, a.name) <
+           std::tie(a.held.cores_milli, a.waiting_steps, b.name);
+  });
+  if (rows.size() > most) rows.resize(most);
+  return rows;
+}
+
 resources scheduler::state::LargestCapacity() const {
   resources largest;
   for (const host_state& host : hosts) {
--- a/packages/cell/src/scheduler.cc
+++ b/packages/cell/src/scheduler.cc
@@ -195,6 +195,10 @@
   state_->actions.clear();
 }
 
+std::vector<tenant_usage> scheduler::TenantUsage(std::size_t most) const {
+  return state_->TenantUsage(most);
+}
+
 scheduler_summary scheduler::Summary() const {
   const state& s = *state_;
   scheduler_summary summary;
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -414,6 +414,7 @@
   void OnDurable(std::uint64_t upto);
   void LogDecision(decision_kind kind, const task_ref& task, std::uint32_t run,
                    std::string_view host, std::string_view cause, duration age = {});
+  void LogRefusal(job_number job, std::string_view tenant, errc code);
 
   // --- hosts (hosts.cc) ---
   host_slot SlotOf(const host_id& host);
@@ -491,6 +492,7 @@
   void UpdateUncertainUsage();
   void UpdateEarlierUsage();
   resources LargestCapacity() const;
+  std::vector<tenant_usage> TenantUsage(std::size_t most) const;
   bool QuotaAllows(const demand& wanted, const job_entry& job, std::uint32_t count);
   void KeepQuotaForGang(const demand& wanted, const job_entry& job);
   bool IsQuotaClosed(const job_entry& job) const;
--- a/packages/cell/src/tenants.cc
+++ b/packages/cell/src/tenants.cc
@@ -25,10 +25,15 @@
 
 tenant_index tenant_ledger::IndexOf(std::string_view name) {
   const tenant_index index = accounting_.TenantOf(tenant_id{std::string(name)});
-  count_ = std::max<std::size_t>(count_, index + 1);
+  if (index >= names_.size()) names_.emplace_back(name);
   return index;
 }
 
+resources tenant_ledger::HeldBy(tenant_index tenant) const {
+  const std::vector<resources>& held = accounting_.Class(work_class_).tenants;
+  return tenant < held.size() ? held[tenant] : resources();
+}
+
 void tenant_ledger::Acquire(tenant_index tenant, const resources& size) {
   accounting_.Acquire(work_class_, tenant, size);
 }
@@ -59,16 +64,16 @@
 }
 
 void tenant_ledger::UpdateShares(const std::vector<bool>& waiting) {
-  over_share_.assign(count_, false);
-  std::vector<double> held(count_);
+  over_share_.assign(Count(), false);
+  std::vector<double> held(Count());
   double weights = 0;
-  for (tenant_index tenant = 0; tenant < count_; ++tenant) {
+  for (tenant_index tenant = 0; tenant < Count(); ++tenant) {
     held[tenant] = accounting_.TenantShare(work_class_, tenant);
     const bool active = held[tenant] > 0 || (tenant < waiting.size() && waiting[tenant]);
     if (active) weights += accounting_.TenantWeight(tenant);
   }
   // A tenant with the weight w has its share if it holds w / `weights` of the capacity.
-  for (tenant_index tenant = 0; tenant < count_; ++tenant) {
+  for (tenant_index tenant = 0; tenant < Count(); ++tenant) {
     over_share_[tenant] = held[tenant] * weights > 1;
   }
 }
--- a/packages/cell/src/tenants.h
+++ b/packages/cell/src/tenants.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -54,7 +55,10 @@
   bool OverShare(tenant_index tenant) const {
     return tenant < over_share_.size() && over_share_[tenant];
   }
-  std::size_t Count() const { return count_; }
+  std::size_t Count() const { return names_.size(); }
+  // Empty for kNoTenant.
+  const std::string& NameOf(tenant_index tenant) const { return names_[tenant]; }
+  resources HeldBy(tenant_index tenant) const;
 
   // Counts a submission against the rate of the tenant: as many jobs per second as its weight says,
   // over `kRateWindow`.
@@ -65,7 +69,8 @@
  private:
   share_accounting accounting_;
   class_index work_class_ = 0;
-  std::size_t count_ = 0;
+  // Indexed by tenant.
+  std::vector<std::string> names_;
   std::vector<resources> uncertain_;
   std::vector<bool> over_share_;
   // Submissions that the tenant may make now; grows with time up to those of `kRateWindow`.
--- a/packages/cell/tests/tenant_test.cc
+++ b/packages/cell/tests/tenant_test.cc
@@ -1,4 +1,5 @@
 // Tenants: quotas over all hosts, shares when capacity is short, and jobs of other tenants.
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "simulated_cell.h"
@@ -203,5 +204,34 @@
   CHECK(cell.Phase(40) == job_phase::kQueued);
 }
 
+// Guards against tenants that operators cannot tell apart, and against a row for each of any number
+// of them.
+TEST_CASE("What tenants hold and wait for can be read, those that hold most first") {
+  simulated_cell cell;
+  cell.AddTenant("a", {2000, 0, 0, 0});
+  cell.AddTenant("b", {});
+  cell.AddTenant("c", {});
+  StartCell(cell, 1);
+  cell.Submit(1, "q", OneStep(3, 1000, seconds(5)), "a");
+  cell.Submit(2, "q", OneStep(5, 1000, seconds(5)), "b");
+  cell.Run(seconds(1));
+  const std::vector<tenant_usage> rows = cell.owner->TenantUsage(10);
+  REQUIRE(rows.size() == 3);
+  CHECK(rows[0].name == "b");
+  CHECK(rows[0].held.cores_milli == 5000);
+  CHECK(rows[0].quota.cores_milli == 0);
+  CHECK(rows[1].name == "a");
+  CHECK(rows[1].held.cores_milli == 2000);
+  CHECK(rows[1].quota.cores_milli == 2000);
+  CHECK(rows[1].waiting_steps == 1);
+  CHECK(rows[2].held == resources());
+  CHECK(cell.owner->TenantUsage(1).size() == 1);
+  const auto started =
+      std::count_if(cell.decisions.begin(), cell.decisions.end(), [](const log_decision& row) {
+        return row.kind == decision_kind::kTaskStarted && row.tenant == "a";
+      });
+  CHECK(started == 2);
+}
+
 }  // namespace
 }  // namespace sycamorehinge::cell::testing
--- a/packages/control/include/sycamorehinge/control/control_node.h
+++ b/packages/control/include/sycamorehinge/control/control_node.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "sycamorehinge/cell/scheduler.h"
 #include "sycamorehinge/control/calls.h"
@@ -62,6 +63,7 @@
 
  private:
   void RecordMetrics(const cell::log_decision& decision) const;
+  void RecordTenant(const cell::log_decision& decision) const;
   void WriteEnded(event_number number, const cell_call& call, errc code, duration held,
                   const owner_info& owner) const;
 
@@ -104,6 +106,9 @@
   // exits.
   void EndCalls();
   control_summary Summary() const;
+  // Returns at most this many tenants if this process owns the cell, see
+  // cell::scheduler::TenantUsage.
+  std::vector<cell::tenant_usage> TenantUsage(std::size_t most) const;
 
  private:
   struct parts;
--- a/packages/control/src/cell_owner.cc
+++ b/packages/control/src/cell_owner.cc
@@ -449,6 +449,12 @@
   });
 }
 
+std::vector<cell::tenant_usage> cell_owner::TenantUsage(std::size_t most) const {
+  return state_.View([&](const state& s) {
+    return s.scheduler ? s.scheduler->TenantUsage(most) : std::vector<cell::tenant_usage>();
+  });
+}
+
 void cell_owner::ScheduleTick(std::uint64_t epoch) {
   const auto next = state_.View([&](const state& s) -> std::optional<time_point> {
     if (!s.HasBegun() || s.epoch != epoch) return std::nullopt;
--- a/packages/control/src/cell_owner.h
+++ b/packages/control/src/cell_owner.h
@@ -57,6 +57,7 @@
   // kVoided if the sender does not wait for the attempt any more.
   void Call(const routed_call& call, peer_reply reply);
   cell::scheduler_summary Summary() const;
+  std::vector<cell::tenant_usage> TenantUsage(std::size_t most) const;
   bool Owns() const;
 
  private:
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -283,6 +283,10 @@
 
 void control_node::EndCalls() { parts_->router.Close(); }
 
+std::vector<cell::tenant_usage> control_node::TenantUsage(std::size_t most) const {
+  return parts_->owner.TenantUsage(most);
+}
+
 control_summary control_node::Summary() const {
   const parts& p = *parts_;
   control_summary summary;
--- a/packages/control/src/decision_log.cc
+++ b/packages/control/src/decision_log.cc
@@ -80,13 +80,17 @@
 
 std::int64_t Milliseconds(duration time) { return time.count() / 1000; }
 
+// Class label of series by tenant, which tells them from those by queue.
+constexpr std::string_view kTenantClass = "tenant";
+
 }  // namespace
 
-// Wait times are recorded by queue, run times by outcome.
+// Wait times are recorded by queue and by tenant, run times by outcome.
 void decision_log::RecordMetrics(const cell::log_decision& decision) const {
   if (!observer_.metric_sink) return;
   metrics& numbers = *observer_.metric_sink;
   using cell::decision_kind;
+  RecordTenant(decision);
   switch (decision.kind) {
     case decision_kind::kJobAccepted:
       return numbers.Count(work_event::kAccepted, decision.cause, "jobs");
@@ -106,6 +110,19 @@
   }
 }
 
+void decision_log::RecordTenant(const cell::log_decision& decision) const {
+  if (decision.tenant.empty()) return;
+  metrics& numbers = *observer_.metric_sink;
+  using cell::decision_kind;
+  if (decision.kind == decision_kind::kJobAccepted) {
+    numbers.Count(work_event::kAccepted, decision.tenant, kTenantClass);
+  } else if (decision.kind == decision_kind::kJobRefused) {
+    numbers.Count(work_event::kRefused, decision.tenant, kTenantClass);
+  } else if (decision.kind == decision_kind::kTaskStarted) {
+    numbers.Record(latency::kQueueWait, decision.tenant, kTenantClass, decision.elapsed);
+  }
+}
+
 void decision_log::RecordTakeoverTime(std::string_view stage, duration time) const {
   if (observer_.metric_sink) observer_.metric_sink->Record(latency::kTakeover, "all", stage, time);
 }
--- a/packages/control/tests/node_test.cc
+++ b/packages/control/tests/node_test.cc
@@ -515,5 +515,23 @@
   CHECK(router.Choose(milliseconds(10), now + seconds(9))->name == "a");
 }
 
+// Guards against refusals and waits of a tenant that no metric shows.
+TEST_CASE("Accepted and refused jobs and waits are counted by tenant") {
+  metrics numbers;
+  const decision_log log(control_observer{nullptr, &numbers});
+  cell::log_decision decision{cell::decision_kind::kJobAccepted, {1}, 0, {}, "q", {}, "a"};
+  log.Write(decision);
+  decision.kind = cell::decision_kind::kJobRefused;
+  log.Write(decision);
+  log.Write(decision);
+  decision.kind = cell::decision_kind::kTaskStarted;
+  decision.elapsed = milliseconds(40);
+  log.Write(decision);
+  CHECK(numbers.Total(work_event::kAccepted, "a", "tenant") == 1);
+  CHECK(numbers.Total(work_event::kRefused, "a", "tenant") == 2);
+  CHECK(numbers.Percentile(latency::kQueueWait, "a", "tenant", 0.5));
+  CHECK_FALSE(numbers.Percentile(latency::kQueueWait, "b", "tenant", 0.5));
+}
+
 }  // namespace
 }  // namespace sycamorehinge::control::testing
--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -37,6 +37,8 @@
 constexpr duration kLimitsInterval = std::chrono::milliseconds(500);
 // Leases leave this much of the longest one that hosts grant.
 constexpr duration kLeaseReserve = std::chrono::milliseconds(500);
+// Tenants with gauges of their own, those that hold most; 380 are expected.
+constexpr std::size_t kMaxTenantRows = 512;
 // Room for the key in a record of the store.
 constexpr std::size_t kKeyBytes = 144;
 
@@ -234,9 +236,30 @@
           now.cell.near_waits);
   counter("sycamorehinge_far_starts", "tasks that started away from their data or group",
           now.cell.far_starts);
+  AddTenantMetrics(page);
   return page.Text();
 }
 
+void platform_process::AddTenantMetrics(exposition& page) const {
+  const std::vector<cell::tenant_usage> tenants = node_->TenantUsage(kMaxTenantRows);
+  const auto family = [&](std::string_view name, std::string_view help, auto value) {
+    if (tenants.empty()) return;
+    page.Family(name, metric_kind::kGauge, help);
+    for (const cell::tenant_usage& row : tenants) {
+      page.Sample(name, {{"tenant", row.name}}, static_cast<double>(value(row)));
+    }
+  };
+  family("sycamorehinge_tenant_cores_milli", "thousandths of cores that runs of the tenant hold",
+         [](const cell::tenant_usage& row) { return row.held.cores_milli; });
+  family("sycamorehinge_tenant_quota_milli",
+         "quota of the tenant in thousandths of cores, 0 if none",
+         [](const cell::tenant_usage& row) { return row.quota.cores_milli; });
+  family("sycamorehinge_tenant_waiting_steps", "waiting steps of the tenant",
+         [](const cell::tenant_usage& row) { return row.waiting_steps; });
+  family("sycamorehinge_tenant_over_share", "1 if the tenant holds more than its share",
+         [](const cell::tenant_usage& row) { return row.over_share ? 1 : 0; });
+}
+
 void platform_process::Drain() {
   if (std::exchange(draining_, true)) return;
   events_.Write(event_number::kDrainStarted);
--- a/packages/entry/src/platform_process.h
+++ b/packages/entry/src/platform_process.h
@@ -42,6 +42,7 @@
   control::control_options MakeOptions() const;
   void FinishDrain();
   std::string Metrics() const;
+  void AddTenantMetrics(exposition& page) const;
   void WatchSettings();
   void WatchLimits();
 
