entry: one plan divides the memory of a machine

Cause: each limit was derived from the memory on its own. A connection counted 6 KiB, but one with 12 KB of unfinished headers takes 22 KB, so all connections of a machine of 160 MB, the bytes of three servers and the jobs came to more than its memory. Peers had 400 connections at most, on machines of any size.

The crowds of entry_test pass with bounds unchanged, as do two new ones, on all ports at once and in chunks of one byte; these two passed before as well.

--- a/packages/entry/src/platform_process.cc
+++ b/packages/entry/src/platform_process.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 #include <utility>
 
+#include "memory_plan.h"
 #include "peer_calls.h"
 #include "sycamorehinge/platform/ingress.h"
 
@@ -20,14 +21,6 @@
 // A reader of the log that takes longer loses the last lines.
 constexpr std::chrono::milliseconds kFlushTime{300};
 constexpr duration kSettingsInterval = std::chrono::seconds(2);
-// Connections of peers and of the readiness check.
-constexpr unsigned kInnerConnections = 400;
-// Each of the three servers may hold this part of the machine's memory for requests and answers.
-constexpr std::size_t kServerMemoryPart = 8;
-// Part of the memory for jobs, on a machine that owns the cell.
-constexpr std::size_t kJobMemoryPart = 4;
-// Memory of a connection without a request.
-constexpr std::size_t kConnectionBytes = std::size_t{6} << 10;
 // Calls between processes hold at most one job.
 constexpr std::size_t kPeerBodyBytes = std::size_t{1} << 20;
 constexpr std::size_t kReadinessBodyBytes = std::size_t{1} << 10;
@@ -102,7 +95,7 @@
   scheduler.stop_timeout = settings.stop_timeout;
   scheduler.gang_timeout = settings.gang_timeout;
   scheduler.far_factor = settings.far_factor;
-  scheduler.max_job_bytes = settings.memory_bytes / kJobMemoryPart;
+  scheduler.max_job_bytes = PlanMemory(settings.memory_bytes, settings.max_sockets).job_bytes;
   scheduler.max_record_bytes = settings.max_record_bytes - kKeyBytes;
   scheduler.job_retention = std::max(scheduler.job_retention, settings.status_retention * 5 / 4);
   return options;
@@ -162,24 +155,27 @@
   const platform::platform_settings settings = settings_.Get();
   node_ = std::make_unique<control::control_node>(MakeOptions(), MakePorts(),
                                                   control::control_observer{&events_, &metrics_});
+  const memory_plan plan = PlanMemory(settings.memory_bytes, settings.max_sockets);
   http_server_options options;
-  options.listen = settings.front_address.host;
-  options.port = settings.front_address.port;
-  options.max_held_bytes = settings.memory_bytes / kServerMemoryPart;
   options.stop_timeout = kStopTimeout;
   options.on_limited = [this](std::string_view limit) {
     events_.Write(event_number::kCallerLimited, {{"limit", limit}});
   };
-  options.max_connections = static_cast<unsigned>(
-      std::min(settings.max_sockets * 3 / 4, options.max_held_bytes / kConnectionBytes));
+  const auto set_share = [&options](const server_share& share) {
+    options.max_connections = share.max_connections;
+    options.max_held_bytes = share.max_held_bytes;
+  };
+  set_share(plan.callers);
+  options.listen = settings.front_address.host;
+  options.port = settings.front_address.port;
   front_ = std::make_unique<http_server>(
       options, platform::MakeIngressHandler(*node_, [this] { return Now(clock_); }));
-  options.max_connections =
-      std::min(kInnerConnections, static_cast<unsigned>(options.max_held_bytes / kConnectionBytes));
+  set_share(plan.readiness);
   options.max_body_bytes = kReadinessBodyBytes;
   options.listen = settings.readiness_address.host;
   options.port = settings.readiness_address.port;
   ready_ = std::make_unique<http_server>(options, platform::MakeReadinessHandler(*node_));
+  set_share(plan.peers);
   options.listen = settings.ip;
   options.port = settings.peer_port;
   options.max_body_bytes = kPeerBodyBytes;
--- a/packages/entry/tests/crowd_test.cc
+++ b/packages/entry/tests/crowd_test.cc
@@ -155,6 +155,35 @@
   CHECK(check.ReadStatus() == 200);
 }
 
+// Guards against limits that hold for each port but not for the process, and against connections
+// whose own buffers are not counted.
+TEST_CASE("Crowds on all ports at once fit into the memory") {
+  crowded_process test;
+  const std::string body = LegalBody();
+  const std::string head = PostHead(kJobPath, LengthHeader(body.size()));
+  const std::string bytes = (head + body).substr(0, head.size() + body.size() - 100);
+  std::string headers = "POST /q/1 HTTP/1.1\r\nHost: h.example\r\nX-Filler: ";
+  headers.append(12'000, 'x');
+  std::vector<std::vector<connection>> crowds;
+  for (const std::uint16_t port :
+       {test.process.PeerPort(), test.process.ReadinessPort(), test.process.FrontPort()}) {
+    crowds.push_back(OpenCrowd(port, 60, bytes, kPartBytes));
+    crowds.push_back(OpenCrowd(port, 60, headers, headers.size()));
+  }
+  test.Check();
+}
+
+// Guards against a thread that is kept busy by bodies in very small chunks, each of which is
+// handled on its own.
+TEST_CASE("Bodies in very small chunks do not keep others from their answers") {
+  crowded_process test;
+  std::string bytes = PostHead(kJobPath, "Transfer-Encoding: chunked\r\n");
+  for (int i = 0; i < 8'000; ++i) bytes += "1\r\nx\r\n";
+  const std::vector<connection> crowd =
+      OpenCrowd(test.process.FrontPort(), kLegalBodies, bytes, kPartBytes);
+  test.Check();
+}
+
 // Guards against a process that is killed, with answers outstanding, because it waits for requests
 // that never end.
 TEST_CASE("A process with half-sent requests ends within its grace time") {
