cell: the test of a slow host fails when only its class is ignored. No functional change

Cause: with a target that no host could meet, the rank by lateness alone kept work from the slow host.

Change: the queue of the test is patient.

Result: with all hosts in class 0 the test fails, as do the two others of placement by speed.

--- a/packages/cell/tests/host_speed_test.cc
+++ b/packages/cell/tests/host_speed_test.cc
@@ -53,7 +53,7 @@
 // Half of the hosts run at `slow`, the others at the usual speed. Runs tasks on all of them until
 // their speeds are known.
 void StartUnevenCell(simulated_cell& cell, double slow) {
-  cell.AddQueue("q");
+  cell.AddQueue("q").stretch = 20;
   for (int i = 0; i < 8; ++i) {
     cell.AddHost("h" + std::to_string(i), kHost).speed = i % 2 == 0 ? slow : 1;
   }
