cell: a step of a size that found no room is not tried again in a pass

Cause: each waiting step looked at all hosts, also after steps of the same size had found no room. That took most of a pass when many steps waited.

Change: a pass remembers service, label, priority and size of what found no room, and skips steps that are no smaller and no more urgent. Steps with advice or a spread limit add nothing to the list.

--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -55,6 +55,7 @@
 // Computes what a pass needs to know of the hosts.
 void scheduler::state::UpdateHosts() {
   max_free = {};
+  unplaced.clear();
   for (host_state& host : hosts) {
     host.speed_class = host.speed.Class(now);
     if (!IsUsable(host)) continue;
@@ -217,9 +218,22 @@
   return {&spec, QueueOf(job), &step, ChargedResources(spec)};
 }
 
-// Returns false if no host can have had capacity for one task at the start of the pass.
+// Returns false if no host has capacity for one task: none had at the start of the pass, or a task
+// that is no larger has found none since. Looking at all hosts for each of many waiting steps would
+// take most of a pass.
 bool scheduler::state::MightFit(const demand& wanted) const {
-  return CopiesThatFit(max_free, wanted.task_size) > 0;
+  if (CopiesThatFit(max_free, wanted.task_size) == 0) return false;
+  return std::none_of(unplaced.begin(), unplaced.end(), [&](const unplaced_size& row) {
+    return row.service == wanted.queue->service && row.label == wanted.spec->label &&
+           row.priority <= wanted.queue->priority && wanted.task_size.CanFit(row.size);
+  });
+}
+
+// Only for steps that every eligible host may run.
+void scheduler::state::NoteUnplaced(const demand& wanted) {
+  if (wanted.NeedsAdvice() || wanted.spec->spread_limit > 0) return;
+  unplaced.push_back(
+      {wanted.queue->service, wanted.spec->label, wanted.queue->priority, wanted.task_size});
 }
 
 // Returns whether the host serves the queue of the step and has the label that the step requires.
@@ -313,7 +327,10 @@
     if (!QuotaAllows(wanted, job, 1)) return;
     const host_slot slot = BestHost(wanted, step.tasks[index]);
     // The tasks of a step are identical, so the remaining ones do not fit either.
-    if (slot == kNoHost) break;
+    if (slot == kNoHost) {
+      NoteUnplaced(wanted);
+      break;
+    }
     // Hosts near the data are chosen first, so none of them has room now.
     if (IsFar(wanted, slot)) {
       if (!wait_for_rack) wait_for_rack = TasksThatWaitForRack(wanted, step, left);
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -275,6 +275,14 @@
   bool NeedsAdvice() const { return queue->advice.has_value(); }
 };
 
+// Tasks of this size, of a queue of this service and priority, found no room in the present pass.
+struct unplaced_size {
+  std::string service;
+  std::string label;
+  std::uint32_t priority = 0;
+  resources size;
+};
+
 struct advice_request_state {
   task_ref step;
   std::vector<host_slot> hosts;
@@ -520,6 +528,7 @@
   std::vector<std::uint32_t> WaitingTasks(const step_state& step) const;
   demand DemandOf(const task_ref& ref, job_entry& job, const step_state& step) const;
   bool MightFit(const demand& wanted) const;
+  void NoteUnplaced(const demand& wanted);
   static bool IsEligible(const demand& wanted, const host_state& host);
   std::uint32_t FitCount(const demand& wanted, host_slot slot,
                          bool include_reserved_capacity) const;
@@ -602,6 +611,8 @@
   bool pass_needed = false;
   time_point next_pass;
   time_point next_full_pass;
+  // What found no room in the present pass, and so will not find any later in it.
+  std::vector<unplaced_size> unplaced;
   // Position of the next step whose turn it is, while not all steps are considered in a pass.
   std::size_t next_turn = 0;
   // Per-resource maximum of the free resources over all usable hosts at the start of the pass.
