--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -389,6 +389,7 @@
   void Activate(job_number number, job_entry& job);
   void OpenOccurrence(job_number number, job_entry& job, std::uint32_t occurrence);
   bool FitsJournal(const accepted_record& record) const;
+  bool FitsMemory(const accepted_record& record) const;
   void UpdateJobBytes();
   bool QuotaCouldAllow(tenant_index tenant, const job_spec& spec) const;
   bool MayOpenOccurrence(const job_entry& job) const;
@@ -400,10 +401,12 @@
   void ReleaseStepResources(const task_ref& ref, job_entry& job);
   void CompleteStepIfDone(const task_ref& ref, job_entry& job);
   void RemoveExpiredJobs(std::int64_t wall);
+  std::int64_t DueMs(const job_entry& job, std::uint32_t occurrence) const;
+
+  // --- targets and admission (targets.cc) ---
   answer_call Admit(call_number call, const accepted_record& record);
   queue_load LoadOf(std::string_view queue, tenant_index tenant);
   void SetLatestStarts(job_entry& job, std::uint32_t occurrence, std::uint32_t index);
-  std::int64_t DueMs(const job_entry& job, std::uint32_t occurrence) const;
 
   // --- cancelled jobs that are not known (cancels.cc) ---
   void RestoreCancel(const cancelled_record& record);
