cell: a gang takes suspect hosts only if no others suffice

Cause: with learned speeds, the fastest class that fitted all members could include hosts with recent failures before hosts of other classes without any.

Change: classes are tried without suspect hosts first; GangCandidates gathers and orders the hosts.

--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -1,5 +1,6 @@
 // Placement of waiting tasks on hosts.
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <numeric>
 #include <utility>
@@ -364,23 +365,13 @@
   SendStart(id);
 }
 
-// Chooses hosts and task counts for all members of a gang; empty if they do not fit. Prefers hosts
-// without recent failures that are not slow, then those with the fewest cores left over. A gang
-// runs at the pace of its slowest member, so the fastest hosts that fit all members are chosen, and
-// of these the slower ones first. If the gang requests one rack, or names that of its data, a rack
-// that fits all members is tried first.
-std::vector<std::pair<host_slot, std::uint32_t>> scheduler::state::ChooseGangHosts(
-    const demand& wanted, bool need_ticket) const {
+// Returns the hosts that fit members of the gang, in the order in which they are used: hosts
+// without recent failures that are not slow first, then slower ones, then those with the fewest
+// cores left.
+std::vector<gang_candidate> scheduler::state::GangCandidates(const demand& wanted,
+                                                             bool need_ticket) const {
   const step_state& step = *wanted.step;
-  struct candidate {
-    bool suspect;
-    int speed_class;
-    std::int64_t left;
-    host_slot slot;
-    std::uint32_t copies;
-  };
-  std::vector<candidate> candidates;
-  std::set<int> classes;
+  std::vector<gang_candidate> candidates;
   for (host_slot slot = 0; slot < hosts.size(); ++slot) {
     if (wanted.NeedsAdvice() && need_ticket && !TicketHolds(step, slot)) continue;
     if (wanted.NeedsAdvice() && !IsApproved(step, slot)) continue;
@@ -390,19 +381,25 @@
     candidates.push_back(
         {host.consecutive_failures > 0 || host.speed_class <= kSlowClass, host.speed_class,
          host.Free().cores_milli - copies * wanted.task_size.cores_milli, slot, copies});
-    classes.insert(host.speed_class);
   }
-  std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-    return std::tie(a.suspect, a.speed_class, a.left, a.slot) <
-           std::tie(b.suspect, b.speed_class, b.left, b.slot);
-  });
-  const auto choose = [&](const rack_id* rack, int slowest) {
+  std::sort(candidates.begin(), candidates.end());
+  return candidates;
+}
+
+// Chooses hosts and task counts for all members of a gang; empty if they do not fit. A gang runs at
+// the pace of its slowest member, so the fastest class of hosts that fits all members is chosen,
+// and suspect hosts only if no others suffice. If the gang requests one rack, or names that of its
+// data, a rack that fits all members is tried first.
+std::vector<std::pair<host_slot, std::uint32_t>> scheduler::state::ChooseGangHosts(
+    const demand& wanted, bool need_ticket) const {
+  const std::vector<gang_candidate> candidates = GangCandidates(wanted, need_ticket);
+  const auto members = static_cast<std::uint32_t>(wanted.step->tasks.size());
+  const auto choose = [&](const auto& may_use) {
     std::vector<std::pair<host_slot, std::uint32_t>> chosen;
-    auto missing = static_cast<std::uint32_t>(step.tasks.size());
-    for (const candidate& next : candidates) {
+    std::uint32_t missing = members;
+    for (const gang_candidate& next : candidates) {
       if (missing == 0) break;
-      if (next.speed_class < slowest) continue;
-      if (rack && hosts[next.slot].entry.rack != *rack) continue;
+      if (!may_use(next)) continue;
       const std::uint32_t take = std::min(next.copies, missing);
       chosen.emplace_back(next.slot, take);
       missing -= take;
@@ -412,17 +409,25 @@
   };
   if (wanted.spec->same_rack || !wanted.spec->rack.empty()) {
     std::set<rack_id> racks;
-    for (const candidate& next : candidates) {
+    for (const gang_candidate& next : candidates) {
       if (!IsFar(wanted, next.slot)) racks.insert(hosts[next.slot].entry.rack);
     }
     for (const rack_id& rack : racks) {
-      if (auto chosen = choose(&rack, *classes.begin()); !chosen.empty()) return chosen;
+      const auto on_rack = [&](const gang_candidate& row) {
+        return hosts[row.slot].entry.rack == rack;
+      };
+      if (auto chosen = choose(on_rack); !chosen.empty()) return chosen;
     }
   }
-  for (auto slowest = classes.rbegin(); slowest != classes.rend(); ++slowest) {
-    if (auto chosen = choose(nullptr, *slowest); !chosen.empty()) return chosen;
+  std::set<int, std::greater<>> classes;
+  for (const gang_candidate& next : candidates) classes.insert(next.speed_class);
+  for (const int slowest : classes) {
+    const auto fast_enough = [&](const gang_candidate& row) {
+      return !row.suspect && row.speed_class >= slowest;
+    };
+    if (auto chosen = choose(fast_enough); !chosen.empty()) return chosen;
   }
-  return {};
+  return choose([](const gang_candidate&) { return true; });
 }
 
 void scheduler::state::PlaceGang(const task_ref& ref, job_entry& job, step_state& step) {
--- a/packages/cell/src/state.h
+++ b/packages/cell/src/state.h
@@ -275,6 +275,19 @@
   bool NeedsAdvice() const { return queue->advice.has_value(); }
 };
 
+// A host that fits members of a gang, in the order of preference.
+struct gang_candidate {
+  // Tasks failed there lately, or it is slow.
+  bool suspect = false;
+  int speed_class = 0;
+  // Thousandths of cores left when it is full of members.
+  std::int64_t left = 0;
+  host_slot slot = kNoHost;
+  std::uint32_t copies = 0;
+
+  friend auto operator<=>(const gang_candidate&, const gang_candidate&) = default;
+};
+
 // Tasks of this size, of a queue of this service and priority, found no room in the present pass.
 struct unplaced_size {
   std::string service;
@@ -539,6 +552,7 @@
   bool TicketHolds(const step_state& step, host_slot slot) const;
   bool IsFar(const demand& wanted, host_slot slot) const;
   host_slot BestHost(const demand& wanted, const task_state& task) const;
+  std::vector<gang_candidate> GangCandidates(const demand& wanted, bool need_ticket) const;
   std::vector<std::pair<host_slot, std::uint32_t>> ChooseGangHosts(const demand& wanted,
                                                                    bool need_ticket) const;
   void StartTask(const task_ref& ref, job_entry& job, step_state& step, host_slot slot,
--- a/packages/cell/tests/host_speed_test.cc
+++ b/packages/cell/tests/host_speed_test.cc
@@ -11,7 +11,7 @@
 using std::chrono::seconds;
 
 constexpr resources kHost = {8000, 16'000, 0, 0};
-const time_point kNow(std::chrono::hours(1));
+constexpr time_point kNow(std::chrono::hours(1));
 
 task_pace Pace(double percent, duration time) { return {percent, time}; }
 
--- a/packages/control/tests/config_test.cc
+++ b/packages/control/tests/config_test.cc
@@ -42,7 +42,8 @@
   group.store.Run(seconds(3));
   const auto ask = [&](std::uint64_t version) {
     peer_answer got;
-    group.nodes["p0"]->OnPeerCall(config_call{version}, [&](peer_answer answer) { got = answer; });
+    group.nodes["p0"]->OnPeerCall(config_call{version},
+                                  [&](const peer_answer& answer) { got = answer; });
     return got;
   };
   CHECK(ask(0).config == "3");
