cell: hosts without a connection are not logged as refusing one

Change: the log says "no connection". The outcome's comment says what it covers. No decision changes.

--- a/packages/cell/include/sycamorehinge/cell/host.h
+++ b/packages/cell/include/sycamorehinge/cell/host.h
@@ -89,7 +89,7 @@
   kInvalidTicket,
   // The host is unhealthy, or has restarted.
   kRefused,
-  // No process listens at the address.
+  // No connection was made: no process listens at the address, or it is cut off.
   kUnreachable,
   // No answer arrived; the call may still take effect.
   kNoAnswer,
--- a/packages/cell/src/hosts.cc
+++ b/packages/cell/src/hosts.cc
@@ -237,7 +237,7 @@
   if (host.poll_failures++ == 0) {
     host.unreachable_since = now;
     LogDecision(decision_kind::kHostUnreachable, {}, 0, host.entry.id.value,
-                outcome == call_outcome::kUnreachable ? "connection refused" : "no answer");
+                outcome == call_outcome::kUnreachable ? "no connection" : "no answer");
   }
   const duration pause =
       std::min(options.poll_retry_delay * host.poll_failures, options.max_poll_retry_delay);
--- a/packages/cell/src/runs.cc
+++ b/packages/cell/src/runs.cc
@@ -59,7 +59,7 @@
     case call_outcome::kRefused:
       return "host is unhealthy";
     case call_outcome::kUnreachable:
-      return "nobody listens";
+      return "no connection";
     case call_outcome::kNoAnswer:
       return "no answer";
     case call_outcome::kRejected:
