control: a process learns at its next read that the store is back

Cause: followers read with a wait of 2 s for a change, also after a failed read. So a process took the store for away for 2 s after it was back, refused calls after 0.3 s instead of holding them for the next owner, and an owner did not hand on its configuration.

Change: the read after a failed one does not wait.

Result: "A follower learns at its next read that the store is back" fails without the change and passes; control_test passes.

--- a/packages/control/src/stream_follower.cc
+++ b/packages/control/src/stream_follower.cc
@@ -49,6 +49,9 @@
       snapshot_.clear();
     }
     backoff_ = page ? duration() : std::clamp(backoff_ * 2, kMinBackoff, kMaxBackoff);
+    // A read that waits for a change would show only after that wait that the store is back.
+    auto* change = std::get_if<from_offset>(&position_);
+    if (!page && change) change->wait = {};
   }
   if (changed && handlers_.on_availability) handlers_.on_availability(available_);
   if (!page) return ReadAfter(backoff_);
--- a/packages/control/tests/config_test.cc
+++ b/packages/control/tests/config_test.cc
@@ -1,6 +1,9 @@
 #include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
 
 #include "cluster.h"
+#include "stream_follower.h"
 
 namespace sycamorehinge::control::testing {
 namespace {
@@ -55,5 +58,42 @@
   CHECK(ask(0).config.empty());
 }
 
+// Guards against a process that takes the store for away until its next long read ends, 2 s after
+// the store is back, and refuses calls meanwhile that it could hold for the next owner.
+TEST_CASE("A follower learns at its next read that the store is back") {
+  std::vector<duration> waits;
+  std::vector<completion<stream_page>> open;
+  std::vector<bool> available;
+  ports port;
+  port.now = [] { return time_point(); };
+  port.run_at = [](time_point, const std::function<void()>& task) { task(); };
+  port.read = [&](stream_name, const read_position& position, completion<stream_page> done) {
+    const auto* change = std::get_if<from_offset>(&position);
+    waits.push_back(change ? change->wait : duration());
+    open.push_back(std::move(done));
+  };
+  follower_handlers handlers;
+  handlers.on_snapshot = [](const auto&) {};
+  handlers.on_change = [](const auto&) {};
+  handlers.on_availability = [&](bool answers) { available.push_back(answers); };
+  const auto follower = std::make_shared<stream_follower>(
+      port, follower_options{stream_name::kConfig, seconds(2), {}}, std::move(handlers));
+  follower->Start();
+  const auto answer = [&](const result<stream_page>& page) {
+    const completion<stream_page> done = open.back();
+    done(page);
+  };
+  answer(stream_page{});
+  CHECK(waits.back() == seconds(2));
+  answer(errc::kTimeout);
+  CHECK(waits.back() == duration());
+  answer(errc::kLogUnavailable);
+  CHECK(waits.back() == duration());
+  answer(stream_page{});
+  CHECK(waits.back() == seconds(2));
+  CHECK(available == std::vector<bool>{false, true});
+  follower->Stop();
+}
+
 }  // namespace
 }  // namespace sycamorehinge::control::testing
