cell, entry: placement is as before on hosts of the usual speed, and tiny limits give a valid plan

A settings file with fewer than 8 descriptors gave std::clamp a lower bound above the upper one.

Change: the speed counts only outside the usual class; each server may have at least one connection.

--- a/packages/cell/src/placement.cc
+++ b/packages/cell/src/placement.cc
@@ -287,8 +287,10 @@
 // come before the others, of which the fastest come first.
 int scheduler::state::SpeedRank(const demand& wanted, const host_state& host) const {
   constexpr int kLateRank = 100;
-  if (host.speed_class >= 0 && now <= wanted.step->latest_start) return 0;
-  const duration extra = ScaleTime(wanted.spec->run_time, 1 / host.speed.Value(now) - 1);
+  duration extra{};
+  if (host.speed_class != 0) {
+    extra = ScaleTime(wanted.spec->run_time, 1 / host.speed.Value(now) - 1);
+  }
   return now + extra <= wanted.step->latest_start ? 0 : kLateRank - host.speed_class;
 }
 
--- a/packages/entry/src/memory_plan.cc
+++ b/packages/entry/src/memory_plan.cc
@@ -17,7 +17,7 @@
 constexpr std::size_t kReadinessConnections = 64;
 
 unsigned ConnectionsIn(std::size_t bytes, std::size_t most) {
-  return static_cast<unsigned>(std::clamp<std::size_t>(bytes / kConnectionBytes, 1, most));
+  return static_cast<unsigned>(std::max<std::size_t>(std::min(bytes / kConnectionBytes, most), 1));
 }
 
 std::size_t MostMemory(const server_share& share) {
--- a/packages/entry/tests/memory_plan_test.cc
+++ b/packages/entry/tests/memory_plan_test.cc
@@ -27,6 +27,7 @@
   CHECK(plan.readiness.max_connections >= 8);
   // A plan for less memory than a process needs still serves somebody.
   CHECK(PlanMemory(0, 100).callers.max_connections > 0);
+  CHECK(PlanMemory(0, 0).peers.max_connections > 0);
 }
 
 }  // namespace
