telemetry, docs: the event of a configuration names its source

Cause: events.md, which is generated from the catalogue, had been changed by hand, so telemetry_test failed.

Change: the catalogue has the text.

--- a/packages/telemetry/src/event_catalogue.cc
+++ b/packages/telemetry/src/event_catalogue.cc
@@ -180,8 +180,11 @@
                       "the platform's store does not answer", "check the store and the network"},
     event_description{kStoreAvailable, kInfo, "store_available",
                       "the platform's store answers again", "none"},
-    event_description{kConfigInForce, kInfo, "config_in_force",
-                      "a newer version of the configuration took effect in this process", "none"},
+    event_description{
+        kConfigInForce, kInfo, "config_in_force",
+        "a newer version of the configuration took effect in this process; `source` is the "
+        "store, or the owner if the store turns this process away",
+        "none"},
     event_description{kConfigUnreadable, kError, "config_unreadable",
                       "the configuration cannot be parsed; the previous one stays in force",
                       "correct the configuration in the store"},
