net: a caller with a body over the limit gets its 413

Cause: the server answered 413 and closed the connection while the caller still sent its body.

Change: while half of the connections are free, a refused body of up to 1 MiB is read and dropped, and then answered. Larger ones, and those of a crowd, are refused before they are read, as before.

--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -24,6 +24,10 @@
 // fit, it sends its own plain 431 response.
 constexpr std::size_t kPoolBytesPerHeaderByte = 2;
 constexpr std::size_t kBasePoolBytes = std::size_t{8} << 10;
+// While half of the connections are free, a refused body of up to this announced length is read and
+// dropped before the answer. Closing the connection while the caller sends resets it, and the
+// caller may not see the answer.
+constexpr std::size_t kMaxDroppedBytes = std::size_t{1} << 20;
 // Interval between checks for connections that make no progress.
 constexpr duration kOverdueCheckInterval = std::chrono::milliseconds(200);
 
@@ -123,6 +127,8 @@
   bool started = false;
   bool dispatched = false;
   bool refused = false;
+  // Sent once the body has been dropped.
+  std::optional<refuse_request> late_refusal;
 
  private:
   const std::string url_;
@@ -332,6 +338,9 @@
     const std::string_view part(data, std::exchange(*size, 0));
     return server->OnBody(connection, current, part);
   }
+  if (current->late_refusal) {
+    return server->SendReply(connection, RefusalResponse(*current->late_refusal));
+  }
   if (!current->dispatched) {
     if (!server->Accept(connection, current)) return MHD_NO;
     current->dispatched = true;
@@ -345,11 +354,14 @@
 // whose request is answered before its end.
 MHD_Result http_server::impl::OnHeaders(MHD_Connection* connection, const exchange_ptr& current) {
   const std::vector<http_header_view> headers = CollectValues(connection, MHD_HEADER_KIND);
+  const std::optional<std::size_t> announced = AnnouncedBytes(headers);
   request_decision decision;
+  bool may_drop = false;
   {
     const std::lock_guard lock(mutex_);
     if (stopped_) return MHD_NO;
-    const std::optional<std::size_t> announced = AnnouncedBytes(headers);
+    may_drop = announced && *announced <= kMaxDroppedBytes &&
+               2 * budget_.Connections() < options_.max_connections;
     decision = budget_.OnHeaders(IdOf(connection), HeaderBytes(headers), announced, Now(clock_));
     if (Apply(decision)) {
       if (announced) current->Body().reserve(*announced);
@@ -359,6 +371,10 @@
   current->refused = true;
   const auto& refusal = std::get<refuse_request>(decision);
   ReportLimit(refusal.status == 503 ? "memory" : "size");
+  if (refusal.status == 413 && may_drop) {
+    current->late_refusal = refusal;
+    return MHD_YES;
+  }
   return SendReply(connection, RefusalResponse(refusal));
 }
 
