cell: the evacuation tests share their set-up. No functional change

Cause: three cases repeated the same lines.

Change: StartCell in evacuation_test.cc. No assertion changes.

--- a/packages/cell/tests/evacuation_test.cc
+++ b/packages/cell/tests/evacuation_test.cc
@@ -11,6 +11,12 @@
 
 constexpr resources kHost = {8000, 16'000, 0, 0};
 
+void StartCell(simulated_cell& cell, int hosts) {
+  cell.AddQueue("q");
+  for (int i = 0; i < hosts; ++i) cell.AddHost("h" + std::to_string(i), kHost);
+  cell.StartFirstOwner();
+}
+
 bool Moves(duration left, duration host_left) {
   return std::holds_alternative<move_run>(DecideEvacuation({left, host_left}));
 }
@@ -35,9 +41,7 @@
 // only when its lease has expired.
 TEST_CASE("Tasks that cannot end before their host leaves start elsewhere at once") {
   simulated_cell cell;
-  cell.AddQueue("q");
-  for (int i = 0; i < 2; ++i) cell.AddHost("h" + std::to_string(i), kHost);
-  cell.StartFirstOwner();
+  StartCell(cell, 2);
   // Both fit on one host, the fuller one.
   cell.Submit(1, "q", OneStep(1, 1000, seconds(8)));
   cell.Submit(2, "q", OneStep(1, 1000, seconds(2)));
@@ -61,9 +65,7 @@
 // Guards against members of a gang that go on alone when another one moves.
 TEST_CASE("A gang with a member on a leaving host moves as a whole") {
   simulated_cell cell;
-  cell.AddQueue("q");
-  for (int i = 0; i < 3; ++i) cell.AddHost("h" + std::to_string(i), kHost);
-  cell.StartFirstOwner();
+  StartCell(cell, 3);
   job_spec gang = OneStep(4, 4000, seconds(10));
   gang.steps[0].gang = true;
   cell.Submit(1, "q", gang);
@@ -81,9 +83,7 @@
 // Guards against moves from a host that does not say when it goes away.
 TEST_CASE("Tasks stay on a draining host whose time to leave is not known") {
   simulated_cell cell;
-  cell.AddQueue("q");
-  for (int i = 0; i < 2; ++i) cell.AddHost("h" + std::to_string(i), kHost);
-  cell.StartFirstOwner();
+  StartCell(cell, 2);
   cell.Submit(1, "q", OneStep(1, 1000, seconds(8)));
   REQUIRE(cell.RunUntil([&] { return cell.Running(1) == 1; }, seconds(1)));
   for (const char* name : {"h0", "h1"}) Announce(cell, name, {});
