--- a/review/standins-3/platform_standin.py
+++ b/review/standins-3/platform_standin.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -284,6 +285,10 @@
     def __init__(self, task, number, spec, step):
         self.task, self.number, self.spec, self.step = task, number, spec, step
         self.arrived = time.monotonic()
+        # The first run of a task that lasts fails after this time, if its job says so.
+        self.life_s = None
+        if "life_ms" in spec and number == 1:
+            self.life_s = random.Random(f"{task} {number}").uniform(*spec["life_ms"]) / 1000
         # A member of a gang begins to work when all members are present.
         self.began = None if step.get("gang") else self.arrived
 
@@ -336,6 +341,15 @@
         asyncio.create_task(self.beat(self.life))
 
     async def crash(self):
+        self.lose_runs()
+        await self.http.stop()
+
+    async def fall_silent(self):
+        """Loses the machine for good: its address takes connections and answers nothing."""
+        self.lose_runs()
+        self.world.record("silent", host=self.id, life=self.life)
+
+    def lose_runs(self):
         self.up = False
         lost, self.running = list(self.running.values()), {}
         for run in lost:
@@ -343,7 +357,6 @@
         for run in lost:
             if run.step.get("gang"):
                 self.world.end_gang(run, "gone")
-        await self.http.stop()
 
     def clock(self):
         return int((time.monotonic() - self.started) * 1000) + 1000
@@ -388,7 +401,10 @@
                 if run.began is None:
                     if now - run.arrived > self.world.bounds["gang_timeout_ms"] / 1000:
                         self.end(run, "alone")
-                elif now - run.began >= run.spec["ms"] / 1000 and not run.step.get("long_running"):
+                elif run.step.get("long_running"):
+                    if run.life_s is not None and now - run.began >= run.life_s:
+                        self.end(run, "failed")
+                elif now - run.began >= run.spec["ms"] / 1000:
                     self.end(run, "failed" if self.world.fails(run) else "done")
             await asyncio.sleep(0.005)
 
