review/11: a late start runs beside its successor

Change: a script in which the orders for one run get no answer and are carried out 11.5 s later, behind a cut in which the executor has crashed and started again.

--- a/review/standins-3/platform_standin.py
+++ b/review/standins-3/platform_standin.py
@@ -313,12 +313,19 @@
         self.life = 0
         self.up = False
         self.draining = False
+        self.cut = False
         # Called for each order; returns None, or the seconds after which it is carried out unanswered.
         self.late = None
         # Delay of the link to its callers, one way.
         self.link_s = 0
 
     async def boot(self):
+        self.begin_life()
+        self.http = HttpServer(self.handle)
+        await self.http.start(self.port or 0)
+        self.port = self.http.port
+
+    def begin_life(self):
         self.life += 1
         self.up = True
         self.born = now_ms()
@@ -333,9 +340,6 @@
         self.noted = 0
         self.seq = 0
         self.wake = asyncio.Event()
-        self.http = HttpServer(self.handle)
-        await self.http.start(self.port or 0)
-        self.port = self.http.port
         self.world.record("boot", host=self.id, life=self.life, labels=self.labels)
         asyncio.create_task(self.tick(self.life))
         asyncio.create_task(self.beat(self.life))
@@ -344,6 +348,18 @@
         self.lose_runs()
         await self.http.stop()
 
+    async def restart_behind_cut(self, down_s):
+        """Cuts the executor off from all processes and the store; it crashes and starts again."""
+        self.cut = True
+        self.world.record("cut", host=self.id, life=self.life)
+        self.lose_runs()
+        await asyncio.sleep(down_s)
+        self.begin_life()
+
+    def heal(self):
+        self.cut = False
+        self.world.record("healed", host=self.id, life=self.life)
+
     async def fall_silent(self):
         """Loses the machine for good: its address takes connections and answers nothing."""
         self.lose_runs()
@@ -364,7 +380,8 @@
     async def beat(self, life):
         while self.up and self.life == life:
             self.seq += 1
-            if self.world.store_reachable:
+            if self.world.store_reachable and not self.cut:
+                self.listed_at = time.monotonic()
                 self.world.store.put(
                     "keyed.servers",
                     self.id,
@@ -385,6 +402,9 @@
                     },
                 )
             await asyncio.sleep(1.5)
+            # The platform removes an entry after three ping intervals of silence.
+            if time.monotonic() - self.listed_at > 4.5:
+                self.world.store.drop("keyed.servers", self.id)
 
     async def tick(self, life):
         while self.up and self.life == life:
@@ -426,12 +446,12 @@
         life = self.life
         if self.link_s:
             await asyncio.sleep(self.link_s)
-        if not self.up or life != self.life:
+        if not self.up or self.cut or life != self.life:
             return None
         answer = await self.take(request)
         if self.link_s:
             await asyncio.sleep(self.link_s)
-        return answer
+        return None if self.cut else answer
 
     async def take(self, request):
         name = request.path.rsplit("/", 1)[1]
