--- a/review/standins-3/platform_standin.py
+++ b/review/standins-3/platform_standin.py
@@ -856,15 +856,18 @@
     return broken
 
 
-def main(case, script):
-    """Runs the coroutine `case(world, trouble)`, which returns the list of what broke the rule."""
+def main(case, script, trouble):
+    """Runs the coroutine `case(world, trouble)`, which returns the list of what broke the rule.
+
+    Without `trouble`, the case does the same without its disruption.
+    """
     folder = os.path.dirname(os.path.abspath(script))
     root = os.path.abspath(os.path.join(folder, "..", ".."))
     if not os.path.exists(os.path.join(root, "target", "packages", "entry", "sycamorehinged")):
         print("the program of the deploy file is not built")
         sys.exit(2)
     world = World(root, os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    world.record("case", trouble=trouble)
 
     async def play():
         code = 2
